Serve a request end to end through separate processes

Nothing existed. This adds the design page, the scaffold (gts lint and format, a lint rule for function verbs, type check, build, ava through a runner that ends with the tally), and a thin whole path: log service and backend server stand-ins, nodes with entry, guard, membership, configuration and administration API, and a command line.

--- /dev/null
+++ b/bin/fescuewheeld.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/daemon/main.js';
--- /dev/null
+++ b/src/admin/index.ts
@@ -0,0 +1,1 @@
+export * from './server.js';
--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,91 @@
+/** A duration or a point in time, in milliseconds. */
+export type Millis = number;
+
+/** The only source of time. */
+export interface Clock {
+  /** Milliseconds since the Unix epoch; never goes backwards within a process. */
+  getTime(): Millis;
+  /** Resolves after the duration, or as soon as the signal aborts. */
+  sleep(duration: Millis, signal?: AbortSignal): Promise<void>;
+}
+
+/** The clock of the machine; monotonic, so that wall clock steps change no duration. */
+export const systemClock: Clock = {
+  getTime: () => performance.timeOrigin + performance.now(),
+  sleep: (duration, signal) =>
+    new Promise(resolve => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const onAbort = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      const timer = setTimeout(() => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      }, duration);
+      signal?.addEventListener('abort', onAbort, {once: true});
+    }),
+};
+
+interface Sleeper {
+  readonly at: Millis;
+  readonly resolve: () => void;
+}
+
+/** A clock for tests; time passes only by `advance`. */
+export class ManualClock implements Clock {
+  private time: Millis;
+  private sleepers: readonly Sleeper[] = [];
+
+  constructor(start: Millis = 0) {
+    this.time = start;
+  }
+
+  getTime(): Millis {
+    return this.time;
+  }
+
+  sleep(duration: Millis, signal?: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const sleeper = {at: this.time + duration, resolve};
+      this.sleepers = [...this.sleepers, sleeper];
+      signal?.addEventListener('abort', () => resolve(), {once: true});
+    });
+  }
+
+  /** Moves time on and wakes the sleepers that are due, earliest first. */
+  async advance(duration: Millis): Promise<void> {
+    const end = this.time + duration;
+    for (;;) {
+      const due = this.sleepers
+        .filter(sleeper => sleeper.at <= end)
+        .sort((a, b) => a.at - b.at)[0];
+      if (!due) break;
+      this.time = due.at;
+      this.sleepers = this.sleepers.filter(sleeper => sleeper !== due);
+      due.resolve();
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    this.time = end;
+  }
+}
+
+/** Runs the task each period until the signal aborts; a slow task delays the next run. */
+export async function runEvery(
+  clock: Clock,
+  period: Millis,
+  signal: AbortSignal,
+  task: () => void | Promise<void>,
+): Promise<void> {
+  while (!signal.aborted) {
+    await clock.sleep(period, signal);
+    if (!signal.aborted) await task();
+  }
+}
--- /dev/null
+++ b/src/base/decode.ts
@@ -0,0 +1,37 @@
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {InvalidInputError} from './errors.js';
+
+/** Path and expectation of the first mismatch, such as `slots: expected number`. */
+function describeMismatch(errors: t.Errors): string {
+  const deepest = errors.reduce((best, error) =>
+    error.context.length > best.context.length ? error : best,
+  );
+  const path = deepest.context
+    .map(entry => entry.key)
+    .filter(key => key !== '')
+    .join('.');
+  const expected = deepest.context[deepest.context.length - 1].type.name;
+  return `${path || 'value'}: expected ${expected}, got ${JSON.stringify(deepest.value)}`;
+}
+
+/** Decodes a value from outside; Left names the field and what was expected. */
+export function decodeWith<A>(
+  codec: t.Type<A, unknown, unknown>,
+  value: unknown,
+): E.Either<Error, A> {
+  const result = codec.decode(value);
+  return E.isRight(result)
+    ? result
+    : E.left(new InvalidInputError(describeMismatch(result.left)));
+}
+
+/** Marks a switch as exhaustive: compiles only if every case was handled. */
+export function assertNever(value: never): never {
+  throw new Error(`unhandled case ${JSON.stringify(value)}`);
+}
+
+/** Bounds a number. */
+export function clampNumber(value: number, low: number, high: number): number {
+  return Math.min(high, Math.max(low, value));
+}
--- /dev/null
+++ b/src/base/hash.ts
@@ -0,0 +1,37 @@
+import {createHash, createHmac, timingSafeEqual} from 'node:crypto';
+import xxhash from 'xxhash-wasm';
+
+const {h32} = await xxhash();
+
+/** A fast 32-bit hash for placement; not for secrets. */
+export function hashText(text: string): number {
+  return h32(text);
+}
+
+/** Orders candidates by rendezvous hashing for a key: every node computes the same order. */
+export function rankByRendezvous<T extends string>(
+  key: string,
+  candidates: readonly T[],
+): readonly T[] {
+  return candidates
+    .map(candidate => ({candidate, score: h32(`${key}\0${candidate}`)}))
+    .sort((a, b) => b.score - a.score || (a.candidate < b.candidate ? -1 : 1))
+    .map(({candidate}) => candidate);
+}
+
+/** Hex SHA-256 of a secret, the form in which tokens are stored. */
+export function hashSecret(secret: string): string {
+  return createHash('sha256').update(secret).digest('hex');
+}
+
+/** HMAC-SHA-256 in base64url over the parts, proving the holder knows the key. */
+export function signParts(key: string, parts: readonly string[]): string {
+  return createHmac('sha256', key).update(parts.join('\0')).digest('base64url');
+}
+
+/** Compares two texts in constant time. */
+export function isSameSecret(a: string, b: string): boolean {
+  const left = Buffer.from(a);
+  const right = Buffer.from(b);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
--- /dev/null
+++ b/src/base/ids.ts
@@ -0,0 +1,39 @@
+/** A string that only one kind of identifier may hold. */
+export type Branded<Kind extends string> = string & {readonly __kind: Kind};
+
+/** Id of one node: the process of the fleet in one VM. */
+export type NodeId = Branded<'NodeId'>;
+/** Id of one backend server, unique in the fleet. */
+export type BackendServerId = Branded<'BackendServerId'>;
+/** Id of a service that routes lead to. */
+export type ServiceId = Branded<'ServiceId'>;
+/** Id of a pool of backend servers within a service. */
+export type PoolId = Branded<'PoolId'>;
+/** Id of a route. */
+export type RouteId = Branded<'RouteId'>;
+/** Id of a client account. */
+export type AccountId = Branded<'AccountId'>;
+/** Id of a partner: a group of client accounts that share capacity fairly with others. */
+export type PartnerId = Branded<'PartnerId'>;
+/** Id of a data centre. */
+export type DataCentreId = Branded<'DataCentreId'>;
+/** Id of a region. */
+export type RegionId = Branded<'RegionId'>;
+/** Id of an operator's plan. */
+export type PlanId = Branded<'PlanId'>;
+/** Id of one caller request, made by its entry node. */
+export type RequestId = Branded<'RequestId'>;
+/** Id of one claim on an idempotency key. */
+export type ClaimId = Branded<'ClaimId'>;
+
+/** Tags a checked string as an id; the kind comes from the context. */
+export function asId<Id extends string>(text: string): Id {
+  return text as Id;
+}
+
+const idPattern = /^[a-z0-9][a-z0-9._-]{0,63}$/;
+
+/** Tells whether a text may serve as an id: 1 to 64 of a-z 0-9 . _ -. */
+export function isIdText(text: string): boolean {
+  return idPattern.test(text);
+}
--- /dev/null
+++ b/src/config/presets.ts
@@ -0,0 +1,28 @@
+import {EjectionRule} from './configuration.js';
+
+/** Names of the documented rule sets. */
+export type PresetName = 'careful' | 'prompt';
+
+/** Rule sets for services that weigh false ejections more (`careful`) or detection time more (`prompt`). */
+export const presets: Readonly<Record<PresetName, EjectionRule>> = {
+  careful: {
+    failureThreshold: 14,
+    slowThreshold: 14,
+    slowFactor: 4,
+    slowFloorMs: 50,
+    ejectMs: 10_000,
+    maxEjectMs: 300_000,
+    probationMs: 20_000,
+    commonCauseShare: 0.34,
+  },
+  prompt: {
+    failureThreshold: 8,
+    slowThreshold: 8,
+    slowFactor: 3,
+    slowFloorMs: 30,
+    ejectMs: 5_000,
+    maxEjectMs: 120_000,
+    probationMs: 10_000,
+    commonCauseShare: 0.34,
+  },
+};
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,2 @@
+export * from './node.js';
+export * from './settings.js';
--- /dev/null
+++ b/src/entry/caller_error.ts
@@ -0,0 +1,100 @@
+import {ServerResponse} from 'node:http';
+import {assertNever, RequestId} from '../base/index.js';
+
+/** Errors that a caller may get from the fleet. */
+export type CallerErrorKind =
+  | 'no-route'
+  | 'unauthorized'
+  | 'bad-request'
+  | 'key-required'
+  | 'over-limit'
+  | 'busy'
+  | 'no-server'
+  | 'leaving'
+  | 'deadline'
+  | 'key-unavailable'
+  | 'key-in-use'
+  | 'server-failed';
+
+/** What the caller is told: the kind, and whether the request may have been run. */
+export interface CallerError {
+  readonly kind: CallerErrorKind;
+  readonly ran: 'no' | 'unknown';
+}
+
+function getStatus(kind: CallerErrorKind): number {
+  switch (kind) {
+    case 'no-route':
+      return 404;
+    case 'unauthorized':
+      return 401;
+    case 'bad-request':
+    case 'key-required':
+      return 400;
+    case 'over-limit':
+      return 429;
+    case 'key-in-use':
+      return 409;
+    case 'busy':
+    case 'no-server':
+    case 'leaving':
+    case 'key-unavailable':
+      return 503;
+    case 'deadline':
+      return 504;
+    case 'server-failed':
+      return 502;
+    default:
+      return assertNever(kind);
+  }
+}
+
+function describeKind(kind: CallerErrorKind): string {
+  switch (kind) {
+    case 'no-route':
+      return 'no route matches this host and path; check the URL';
+    case 'unauthorized':
+      return 'the bearer token is missing or unknown; send Authorization: Bearer TOKEN';
+    case 'bad-request':
+      return 'a fescuewheel header is malformed; see the message of the header';
+    case 'key-required':
+      return 'this route needs an idempotency-key header for non-idempotent requests';
+    case 'over-limit':
+      return 'the limit of this account is reached; wait and send again';
+    case 'busy':
+      return 'all backend servers are busy; wait and send again';
+    case 'no-server':
+      return 'no backend server of this service can be reached; send again later';
+    case 'leaving':
+      return 'this node is shutting down; send again to another node';
+    case 'deadline':
+      return 'the deadline passed; send again with more time';
+    case 'key-unavailable':
+      return 'the idempotency key cannot be recorded now; send again later with the same key';
+    case 'key-in-use':
+      return 'an earlier request with this idempotency key may have been run; ask for its result before sending anew';
+    case 'server-failed':
+      return 'the backend server failed during the exchange';
+    default:
+      return assertNever(kind);
+  }
+}
+
+/** Writes the error answer; only valid while no byte of an answer was sent. */
+export function writeCallerError(
+  response: ServerResponse,
+  requestId: RequestId,
+  {kind, ran}: CallerError,
+): void {
+  const body = JSON.stringify({
+    error: {kind, message: describeKind(kind), ran, requestId},
+  });
+  response.writeHead(getStatus(kind), {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    'fescuewheel-ran': ran,
+    'fescuewheel-request-id': requestId,
+    ...(ran === 'no' && getStatus(kind) === 503 && {'retry-after': '1'}),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/entry/remote_guard.ts
@@ -0,0 +1,105 @@
+import {Agent, Dispatcher} from 'undici';
+import {Clock} from '../base/index.js';
+import {
+  FailureReason,
+  GuardAnswer,
+  GuardCall,
+  isConnectError,
+  nodeHeaders,
+  pickForwardHeaders,
+  RefusalReason,
+  signCall,
+  SlotLoad,
+} from '../guard/index.js';
+
+/** Calls the guards of other nodes. */
+export class RemoteGuards {
+  private readonly agent: Agent;
+
+  constructor(
+    private readonly clusterKey: string,
+    private readonly clock: Clock,
+    localAddress?: string,
+  ) {
+    this.agent = new Agent({
+      connections: 256,
+      pipelining: 1,
+      // Shorter than the data port's 75 s, so that this side closes idle connections first and no request is
+      // sent into a closing one.
+      keepAliveTimeout: 60_000,
+      connect: {timeout: 1000, localAddress},
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Runs a call through the guard at `host:port`. */
+  async serve(address: string, call: GuardCall): Promise<GuardAnswer> {
+    const remaining = Math.round(call.deadline - this.clock.getTime());
+    if (remaining <= 0) return {kind: 'refused', reason: 'deadline'};
+    const timeout = AbortSignal.timeout(remaining);
+    const signal = AbortSignal.any([timeout, call.signal]);
+    try {
+      const answer = await this.agent.request({
+        origin: `http://${address}`,
+        path: call.path,
+        method: call.method as Dispatcher.HttpMethod,
+        headers: {
+          ...call.headers,
+          [nodeHeaders.requestId]: call.requestId,
+          [nodeHeaders.server]: call.server,
+          [nodeHeaders.partner]: call.partner,
+          [nodeHeaders.deadline]: String(remaining),
+          [nodeHeaders.auth]: signCall(
+            this.clusterKey,
+            call.requestId,
+            call.server,
+          ),
+        },
+        body: call.body,
+        signal,
+      });
+      return await readGuardAnswer(answer);
+    } catch (error) {
+      if (isConnectError(error))
+        return {kind: 'refused', reason: 'unreachable'};
+      return {kind: 'failed', reason: timeout.aborted ? 'timeout' : 'reset'};
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.agent.close();
+  }
+}
+
+async function readGuardAnswer(
+  answer: Dispatcher.ResponseData,
+): Promise<GuardAnswer> {
+  const refused = answer.headers[nodeHeaders.refused];
+  const failed = answer.headers[nodeHeaders.failed];
+  const load = parseLoad(answer.headers[nodeHeaders.load]);
+  if (refused !== undefined) {
+    await answer.body.dump();
+    return {kind: 'refused', reason: refused as RefusalReason, load};
+  }
+  if (failed !== undefined) {
+    await answer.body.dump();
+    return {kind: 'failed', reason: failed as FailureReason};
+  }
+  return {
+    kind: 'answer',
+    status: answer.statusCode,
+    headers: pickForwardHeaders(answer.headers),
+    body: answer.body,
+    load,
+  };
+}
+
+function parseLoad(
+  header: string | string[] | undefined,
+): SlotLoad | undefined {
+  const [free, slots] = String(header ?? '')
+    .split('/')
+    .map(Number);
+  return slots > 0 ? {free, slots} : undefined;
+}
--- /dev/null
+++ b/src/guard/announcements.ts
@@ -0,0 +1,129 @@
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {
+  asId,
+  BackendServerId,
+  ConflictError,
+  decodeWith,
+  isIdText,
+  InvalidInputError,
+  Millis,
+  ServiceId,
+} from '../base/index.js';
+import {Phase, phaseCodec} from '../membership/index.js';
+
+const announcementCodec = t.type({
+  server: t.string,
+  service: t.string,
+  pool: t.string,
+  address: t.string,
+  incarnation: t.number,
+  slots: t.number,
+  phase: phaseCodec,
+});
+
+/** A backend server as it announced itself. */
+export interface Announcement {
+  readonly server: BackendServerId;
+  readonly service: ServiceId;
+  readonly pool: string;
+  /** host:port */
+  readonly address: string;
+  readonly incarnation: number;
+  readonly slots: number;
+  readonly phase: Phase;
+}
+
+/** A backend server silent for so long is gone: it announces itself each second. */
+export const announcementExpiryMs: Millis = 4000;
+
+const addressPattern = /^[0-9a-f.:[\]]+:[0-9]{1,5}$/;
+
+interface Entry {
+  readonly announcement: Announcement;
+  readonly atMs: Millis;
+}
+
+/** Backend servers of this VM, by their own announcements. */
+export class Announcements {
+  private entries: ReadonlyMap<BackendServerId, Entry> = new Map();
+
+  /** Takes an announcement; Left is an InvalidInputError, or a ConflictError for a stale one. */
+  record(value: unknown, nowMs: Millis): E.Either<Error, Announcement> {
+    const decoded = decodeWith(announcementCodec, value);
+    if (E.isLeft(decoded)) return decoded;
+    const invalid = findInvalidField(decoded.right);
+    if (invalid) return E.left(new InvalidInputError(invalid));
+    const announcement: Announcement = {
+      ...decoded.right,
+      server: asId<BackendServerId>(decoded.right.server),
+      service: asId<ServiceId>(decoded.right.service),
+    };
+    const known = this.entries.get(announcement.server)?.announcement;
+    if (known && isStale(announcement, known)) {
+      return E.left(
+        new ConflictError(
+          `announcement of ${known.server} is older than the known incarnation ${known.incarnation}; announce with a higher incarnation after a restart`,
+        ),
+      );
+    }
+    this.entries = new Map(this.entries).set(announcement.server, {
+      announcement,
+      atMs: nowMs,
+    });
+    return E.right(announcement);
+  }
+
+  get(server: BackendServerId): Announcement | undefined {
+    return this.entries.get(server)?.announcement;
+  }
+
+  list(): readonly Announcement[] {
+    return [...this.entries.values()].map(entry => entry.announcement);
+  }
+
+  /** Forgets silent backend servers and returns them. */
+  removeExpired(nowMs: Millis): readonly Announcement[] {
+    const expired = [...this.entries.values()].filter(
+      entry => nowMs - entry.atMs > announcementExpiryMs,
+    );
+    if (expired.length > 0) {
+      const kept = new Map(this.entries);
+      for (const entry of expired) kept.delete(entry.announcement.server);
+      this.entries = kept;
+    }
+    return expired.map(entry => entry.announcement);
+  }
+}
+
+// Within one incarnation a server that drains never becomes ready again; a late "ready" is out of order.
+function isStale(next: Announcement, known: Announcement): boolean {
+  if (next.incarnation !== known.incarnation) {
+    return next.incarnation < known.incarnation;
+  }
+  return getPhaseOrder(next.phase) < getPhaseOrder(known.phase);
+}
+
+function getPhaseOrder(phase: Phase): number {
+  return ['starting', 'ready', 'draining', 'stopped'].indexOf(phase);
+}
+
+function findInvalidField(
+  value: t.TypeOf<typeof announcementCodec>,
+): string | undefined {
+  for (const field of ['server', 'service', 'pool'] as const) {
+    if (!isIdText(value[field])) {
+      return `${field}: expected 1 to 64 of a-z 0-9 . _ -, got ${JSON.stringify(value[field].slice(0, 80))}`;
+    }
+  }
+  if (!addressPattern.test(value.address)) {
+    return `address: expected IP:port, got ${JSON.stringify(value.address.slice(0, 80))}`;
+  }
+  if (!Number.isInteger(value.slots) || value.slots < 1) {
+    return `slots: expected a whole number from 1, got ${value.slots}`;
+  }
+  if (!Number.isFinite(value.incarnation)) {
+    return `incarnation: expected a number, got ${value.incarnation}`;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/guard/call.ts
@@ -0,0 +1,95 @@
+import {IncomingHttpHeaders} from 'node:http';
+import {Readable} from 'node:stream';
+import {BackendServerId, Millis, PartnerId, RequestId} from '../base/index.js';
+
+/** A request on its way to one backend server. */
+export interface GuardCall {
+  readonly requestId: RequestId;
+  readonly server: BackendServerId;
+  readonly partner: PartnerId;
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer | Readable | null;
+  /** Point in time after which nobody waits for the answer. */
+  readonly deadline: Millis;
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal;
+}
+
+/** Why a request was certainly not run. */
+export type RefusalReason =
+  | 'busy'
+  | 'draining'
+  | 'unknown-server'
+  | 'unreachable'
+  | 'deadline'
+  | 'backend-shed';
+
+/** How an exchange failed after the request may have been run. */
+export type FailureReason = 'reset' | 'timeout' | 'cut';
+
+/** Free and total slots of the backend server, as its guard counts them. */
+export interface SlotLoad {
+  readonly free: number;
+  readonly slots: number;
+}
+
+/** What came of a call. The body of an answer errors if the transfer breaks; it never ends early. */
+export type GuardAnswer =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly body: Readable;
+      readonly load?: SlotLoad;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly reason: RefusalReason;
+      readonly load?: SlotLoad;
+    }
+  | {readonly kind: 'failed'; readonly reason: FailureReason};
+
+/** Header names between nodes; callers and backend servers cannot set them. */
+export const nodeHeaders = {
+  server: 'fescuewheel-backend-server',
+  requestId: 'fescuewheel-request-id',
+  deadline: 'fescuewheel-deadline-ms',
+  partner: 'fescuewheel-partner',
+  auth: 'fescuewheel-auth',
+  load: 'fescuewheel-load',
+  refused: 'fescuewheel-refused',
+  failed: 'fescuewheel-failed',
+  notRun: 'fescuewheel-not-run',
+} as const;
+
+const hopHeaders = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+/** Headers that go on to the next hop: neither hop-by-hop nor the system's own. */
+export function pickForwardHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  const named = String(headers.connection ?? '')
+    .toLowerCase()
+    .split(',')
+    .map(name => name.trim());
+  const picked: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || hopHeaders.has(name)) continue;
+    if (named.includes(name) || name.startsWith('fescuewheel-')) continue;
+    picked[name] = value;
+  }
+  return picked;
+}
--- /dev/null
+++ b/src/guard/data_port.ts
@@ -0,0 +1,132 @@
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream';
+import Fastify, {FastifyInstance} from 'fastify';
+import {
+  asId,
+  BackendServerId,
+  Clock,
+  isSameSecret,
+  PartnerId,
+  RequestId,
+  signParts,
+} from '../base/index.js';
+import {
+  GuardAnswer,
+  GuardCall,
+  nodeHeaders,
+  pickForwardHeaders,
+} from './call.js';
+import {Guard} from './guard.js';
+
+/** Proof, between nodes, that a call comes from a member of the fleet. */
+export function signCall(
+  clusterKey: string,
+  requestId: string,
+  server: string,
+): string {
+  return signParts(clusterKey, ['call', requestId, server]);
+}
+
+/** Builds a fastify server that hands raw streams to its handler, without a limit on bodies. */
+export function buildStreamServer(
+  onRequest: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => Promise<void>,
+): FastifyInstance {
+  const app = Fastify({
+    keepAliveTimeout: 75_000,
+    requestTimeout: 0,
+    exposeHeadRoutes: false,
+    // Idle connections end at shutdown; busy ones end their exchange first.
+    forceCloseConnections: 'idle',
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', (_request, payload, done) =>
+    done(null, payload),
+  );
+  app.all('/*', async (request, reply) => {
+    reply.hijack();
+    await onRequest(request.raw, reply.raw).catch(() => reply.raw.destroy());
+  });
+  return app;
+}
+
+/** Gives a signal that aborts when the peer goes away before the response is whole. */
+export function watchClose(response: ServerResponse): AbortSignal {
+  const gone = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  return gone.signal;
+}
+
+/** Builds the port on which other nodes reach this node's guard. */
+export function buildDataPort(
+  guard: Guard,
+  clusterKey: string,
+  clock: Clock,
+): FastifyInstance {
+  return buildStreamServer(async (request, response) => {
+    const requestId = String(request.headers[nodeHeaders.requestId] ?? '');
+    const server = String(request.headers[nodeHeaders.server] ?? '');
+    const proof = String(request.headers[nodeHeaders.auth] ?? '');
+    if (!isSameSecret(proof, signCall(clusterKey, requestId, server))) {
+      response.writeHead(401, {connection: 'close'});
+      response.end('the cluster key of the peer is missing or wrong');
+      return;
+    }
+    const call: GuardCall = {
+      requestId: asId<RequestId>(requestId),
+      server: asId<BackendServerId>(server),
+      partner: asId<PartnerId>(
+        String(request.headers[nodeHeaders.partner] ?? ''),
+      ),
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: pickForwardHeaders(request.headers),
+      body: hasBody(request) ? request : null,
+      deadline:
+        clock.getTime() + Number(request.headers[nodeHeaders.deadline] ?? 0),
+      signal: watchClose(response),
+    };
+    writeGuardAnswer(response, await guard.serve(call));
+  });
+}
+
+/** Tells whether a request carries a body. */
+export function hasBody(request: IncomingMessage): boolean {
+  return (
+    request.headers['transfer-encoding'] !== undefined ||
+    Number(request.headers['content-length'] ?? 0) > 0
+  );
+}
+
+function writeGuardAnswer(response: ServerResponse, answer: GuardAnswer): void {
+  if (response.destroyed) return;
+  switch (answer.kind) {
+    case 'refused':
+      response.writeHead(503, {
+        [nodeHeaders.refused]: answer.reason,
+        ...(answer.load && {
+          [nodeHeaders.load]: `${answer.load.free}/${answer.load.slots}`,
+        }),
+      });
+      response.end();
+      return;
+    case 'failed':
+      response.writeHead(502, {[nodeHeaders.failed]: answer.reason});
+      response.end();
+      return;
+    case 'answer':
+      response.writeHead(answer.status, {
+        ...answer.headers,
+        ...(answer.load && {
+          [nodeHeaders.load]: `${answer.load.free}/${answer.load.slots}`,
+        }),
+      });
+      pipeline(answer.body, response, error => {
+        if (error) response.destroy();
+      });
+  }
+}
--- /dev/null
+++ b/src/health/index.ts
@@ -0,0 +1,2 @@
+export * from './judge.js';
+export * from './server_health.js';
--- /dev/null
+++ b/src/logservice/index.ts
@@ -0,0 +1,1 @@
+export * from './client.js';
--- /dev/null
+++ b/src/standins/backend_server.ts
@@ -0,0 +1,193 @@
+import {createHash} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import Fastify, {FastifyInstance} from 'fastify';
+import {Clock, Millis, systemClock} from '../base/index.js';
+
+/** How the stand-in misbehaves; its health endpoint goes on saying that all is well. */
+export type FaultMode =
+  'healthy' | 'slow' | 'wrong' | 'cut' | 'stall' | 'silent' | 'flap';
+
+/** Faults that tests switch at run time by `POST /faults`. */
+export interface BackendFaults {
+  readonly mode: FaultMode;
+  /** Extra time of each answer in the modes slow and flap. */
+  readonly slowMs: Millis;
+  /** Share of requests that the fault strikes, 0 to 1. */
+  readonly share: number;
+  /** In the mode flap: length of each sick and each healthy period. */
+  readonly periodMs: Millis;
+}
+
+/** What the stand-in is. */
+export interface BackendOptions {
+  readonly id: string;
+  readonly slots: number;
+  readonly workMs: Millis;
+  /** Extra time of answers right after start, falling to none over `coldStartMs`. */
+  readonly coldStartMs: Millis;
+  readonly clock?: Clock;
+}
+
+/** The stand-in and its controls. */
+export interface BackendServer {
+  readonly app: FastifyInstance;
+  getPhase(): 'ready' | 'draining';
+  drain(): void;
+}
+
+interface Run {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly key: string;
+  readonly atMs: Millis;
+}
+
+/** Builds a backend server stand-in: limited slots, cold start, drain, shedding, cancellation, gray faults. */
+export function buildBackendServer(options: BackendOptions): BackendServer {
+  const clock = options.clock ?? systemClock;
+  const startedAt = clock.getTime();
+  const app = Fastify({forceCloseConnections: true});
+  const runs: Run[] = [];
+  let faults: BackendFaults = {
+    mode: 'healthy',
+    slowMs: 1000,
+    share: 1,
+    periodMs: 2000,
+  };
+  let inFlight = 0;
+  let served = 0;
+  let phase: 'ready' | 'draining' = 'ready';
+
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', (_request, payload, done) =>
+    done(null, payload),
+  );
+
+  function getActiveFault(): FaultMode {
+    const strikes = served % 100 < faults.share * 100;
+    if (!strikes) return 'healthy';
+    if (faults.mode !== 'flap') return faults.mode;
+    const period = Math.floor((clock.getTime() - startedAt) / faults.periodMs);
+    return period % 2 === 0 ? 'slow' : 'healthy';
+  }
+
+  function computeWork(fault: FaultMode): Millis {
+    const age = clock.getTime() - startedAt;
+    const cold =
+      age < options.coldStartMs
+        ? options.workMs * 3 * (1 - age / options.coldStartMs)
+        : 0;
+    return options.workMs + cold + (fault === 'slow' ? faults.slowMs : 0);
+  }
+
+  async function handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (inFlight >= options.slots) {
+      response.writeHead(503, {'fescuewheel-not-run': 'true'});
+      response.end('shed');
+      return;
+    }
+    inFlight += 1;
+    const fault = getActiveFault();
+    served += 1;
+    const cancelled = new AbortController();
+    response.once('close', () => cancelled.abort());
+    try {
+      const body = await readBody(request);
+      await clock.sleep(computeWork(fault), cancelled.signal);
+      if (cancelled.signal.aborted) return;
+      runs.push({
+        requestId: String(request.headers['fescuewheel-request-id'] ?? ''),
+        method: request.method ?? '',
+        path: request.url ?? '',
+        key: String(request.headers['idempotency-key'] ?? ''),
+        atMs: clock.getTime(),
+      });
+      await writeAnswer(fault, request, response, body, cancelled.signal);
+    } finally {
+      inFlight -= 1;
+    }
+  }
+
+  async function writeAnswer(
+    fault: FaultMode,
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    cancelled: AbortSignal,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://backend');
+    const size = Number(url.searchParams.get('size') ?? 0);
+    const answer = Buffer.from(
+      size > 0
+        ? 'x'.repeat(size)
+        : JSON.stringify({
+            server: options.id,
+            path: url.pathname + url.search,
+            requestId: request.headers['fescuewheel-request-id'],
+            received: body.length,
+          }),
+    );
+    switch (fault) {
+      case 'wrong':
+        response.writeHead(500, {'content-type': 'text/plain'});
+        response.end('internal error');
+        return;
+      case 'silent':
+        await clock.sleep(600_000, cancelled);
+        return;
+      case 'cut':
+      case 'stall':
+        response.writeHead(200, {'content-length': answer.length});
+        response.write(answer.subarray(0, Math.ceil(answer.length / 2)));
+        if (fault === 'stall') await clock.sleep(600_000, cancelled);
+        else await clock.sleep(5);
+        response.destroy();
+        return;
+      case 'healthy':
+      case 'slow':
+      case 'flap':
+        response.writeHead(request.method === 'POST' ? 201 : 200, {
+          'content-type': 'application/json',
+          'content-length': answer.length,
+          'content-digest': `sha-256=:${createHash('sha256').update(answer).digest('base64')}:`,
+        });
+        response.end(answer);
+    }
+  }
+
+  app.get('/health', async () => ({status: 'ok'}));
+  app.get('/runs', async () => runs);
+  app.get('/load', async () => ({inFlight, slots: options.slots}));
+  app.post('/faults', async request => {
+    const body = await readBody(request.raw);
+    faults = {...faults, ...JSON.parse(body.toString())};
+    return faults;
+  });
+  app.post('/drain', async () => {
+    phase = 'draining';
+    return {phase};
+  });
+  app.all('/*', async (request, reply) => {
+    reply.hijack();
+    await handleRequest(request.raw, reply.raw).catch(() =>
+      reply.raw.destroy(),
+    );
+  });
+  return {
+    app,
+    getPhase: () => phase,
+    drain: () => {
+      phase = 'draining';
+    },
+  };
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/src/standins/index.ts
@@ -0,0 +1,3 @@
+export * from './backend_server.js';
+export * from './log_service.js';
+export * from './relay.js';
--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './fleet.js';
+export * from './process.js';
--- /dev/null
+++ b/test/path/path.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import {request} from 'undici';
+import {hashSecret} from '../../src/base/index.js';
+import {Change} from '../../src/config/index.js';
+import {LocalFleet, NodePlan} from '../../src/testing/index.js';
+
+const callerToken = 'caretaker-token-0001';
+
+function makeNode(index: number): NodePlan {
+  const dataCentre = ['wien-nord', 'wien-sued', 'noe-tulln'][index];
+  return {
+    id: `n${index}`,
+    dataCentre,
+    region: 'ostregion',
+    backends: [
+      {
+        id: `hisskalender-${index}`,
+        service: 'hisskalender',
+        pool: 'hisskalender',
+        slots: 5,
+        workMs: 3,
+      },
+    ],
+  };
+}
+
+const changes: readonly Change[] = [
+  {kind: 'add-service', service: 'hisskalender', floor: 2},
+  {
+    kind: 'add-pool',
+    pool: 'hisskalender',
+    service: 'hisskalender',
+    expected: 3,
+  },
+  {kind: 'set-partner', partner: 'verlag-a', weight: 1},
+  {
+    kind: 'add-account',
+    account: 'caretaker',
+    partner: 'verlag-a',
+    tokenHash: hashSecret(callerToken),
+  },
+  {
+    kind: 'add-route',
+    route: 'hisstage',
+    host: '*',
+    pathPrefix: '/hisstage',
+    service: 'hisskalender',
+  },
+];
+
+// Guards against a path that works only inside one process: three nodes, three backend servers, one log.
+test('a request is served end to end through separate processes', async t => {
+  const fleet = await LocalFleet.start([0, 1, 2].map(makeNode));
+  try {
+    const version = await fleet.applyChanges('n0', changes);
+    await fleet.waitUntil('version on all nodes', 6000, async () => {
+      const configs = await Promise.all(
+        ['n0', 'n1', 'n2'].map(id => fleet.callAdmin(id, 'GET', '/v1/config')),
+      );
+      return configs.every(c => (c as {version: number}).version === version);
+    });
+    await fleet.waitUntil('all servers known to n2', 6000, async () => {
+      const status = (await fleet.callAdmin('n2', 'GET', '/v1/status')) as {
+        services: {servers: unknown[]}[];
+      };
+      return status.services[0].servers.length === 3;
+    });
+    const servers = new Set<string>();
+    for (let i = 0; i < 30; i += 1) {
+      const answer = await request(
+        `http://${fleet.getNode('n2').callers}/hisstage/${i}`,
+        {headers: {authorization: `Bearer ${callerToken}`}},
+      );
+      t.is(answer.statusCode, 200);
+      const body = (await answer.body.json()) as {path: string; server: string};
+      t.is(body.path, `/hisstage/${i}`);
+      servers.add(body.server);
+    }
+    t.true(servers.size >= 2);
+  } finally {
+    await fleet.stop();
+  }
+});
