Add calls by name between nodes on the data port

Keys and the hand-over of configuration both need one node to ask another. A second listener was ruled out: the data port already proves the cluster key.

--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -19,6 +19,7 @@
 import {JudgedServer, judgeService} from '../health/index.js';
 import {createLogClient, LogClient} from '../logservice/index.js';
 import {NodeRecord, PeerLinks, Roster} from '../membership/index.js';
+import {NodeCallClient, NodeCallHandlers} from '../nodecalls/index.js';
 import {Settings} from './settings.js';
 
 const recordPeriodMs: Millis = 500;
@@ -34,6 +35,8 @@
   private readonly follower: ConfigFollower;
   private readonly guard: Guard;
   private readonly remotes: RemoteGuards;
+  private readonly calls: NodeCallHandlers;
+  private readonly callClient: NodeCallClient;
   private readonly entry: Entry;
   private readonly links: PeerLinks;
   private readonly servers: readonly FastifyInstance[];
@@ -65,6 +68,8 @@
       logger,
       address,
     );
+    this.calls = new NodeCallHandlers(settings.peers.cluster_key);
+    this.callClient = new NodeCallClient(settings.peers.cluster_key, address);
     this.remotes = new RemoteGuards(settings.peers.cluster_key, clock, address);
     this.entry = new Entry(
       {
@@ -97,7 +102,7 @@
       logger,
     );
     this.servers = [
-      buildDataPort(this.guard, settings.peers.cluster_key, clock),
+      buildDataPort(this.guard, settings.peers.cluster_key, clock, this.calls),
       this.buildAnnouncePort(),
       buildAdminServer({
         token: settings.admin.operator_token,
@@ -140,6 +145,7 @@
       this.clock.sleep(this.settings.shutdown.grace),
     ]);
     this.stopping.abort();
+    await this.callClient.close();
     await this.log.close();
     this.logger.info('left');
   }
--- /dev/null
+++ b/src/nodecalls/index.ts
@@ -0,0 +1,1 @@
+export * from './node_calls.js';
