Add the scenario language and the first gray fault scenarios

The promises need proofs as scripted scenarios against real processes. A hand-made grammar was ruled out: the Gherkin parser with Cucumber expressions reads like the requirements and checks that each sentence is known.

--- /dev/null
+++ b/scenarios/gray.feature
@@ -0,0 +1,38 @@
+Feature: Sick backend servers stop receiving work
+
+  Background:
+    Given the service hisskalender with 6 backend servers, 5 slots each, a floor of 4 and the preset careful
+    And callers look up 120 times a second
+
+  Scenario: a backend server answers with wrong statuses
+    When 2 seconds pass
+    And backend server 2 turns wrong
+    Then backend server 2 gets no new work after 4 seconds
+    And at least 4 backend servers stayed usable on every node
+    And every answer is whole and the caller's own
+
+  Scenario: a backend server turns slow while its health endpoint says ok
+    When 2 seconds pass
+    And backend server 2 turns slow
+    Then backend server 2 gets no new work after 8 seconds
+    And at least 4 backend servers stayed usable on every node
+    And every answer is whole and the caller's own
+
+  Scenario: a backend server cuts bodies short
+    When 2 seconds pass
+    And backend server 2 turns cut
+    Then backend server 2 gets no new work after 4 seconds
+    And every answer is whole and the caller's own
+
+  Scenario: a backend server is killed
+    When 2 seconds pass
+    And backend server 2 is killed
+    Then backend server 2 gets no new work after 6 seconds
+    And every request is answered
+
+  Scenario: all backend servers turn slow together
+    When 2 seconds pass
+    And all backend servers turn slow
+    And 6 seconds pass
+    Then at least 4 backend servers stayed usable on every node
+    And every answer is whole and the caller's own
--- a/src/standins/backend_server.ts
+++ b/src/standins/backend_server.ts
@@ -26,6 +26,8 @@
   /** Extra time of answers right after start, falling to none over `coldStartMs`. */
   readonly coldStartMs: Millis;
   readonly clock?: Clock;
+  /** Called with each run of a method other than GET, before the answer is sent. */
+  readonly onRun?: (run: Run) => void;
 }
 
 /** The stand-in and its controls. */
@@ -35,7 +37,8 @@
   drain(): void;
 }
 
-interface Run {
+/** One request that the stand-in ran. */
+export interface Run {
   readonly requestId: string;
   readonly method: string;
   readonly path: string;
@@ -65,7 +68,8 @@
   );
 
   function getActiveFault(): FaultMode {
-    const strikes = served % 100 < faults.share * 100;
+    // 37 is prime to 100, so that strikes are spread evenly.
+    const strikes = (served * 37) % 100 < faults.share * 100;
     if (!strikes) return 'healthy';
     if (faults.mode !== 'flap') return faults.mode;
     const period = Math.floor((clock.getTime() - startedAt) / faults.periodMs);
@@ -97,21 +101,29 @@
     response.once('close', () => cancelled.abort());
     try {
       const body = await readBody(request);
+      // A request counts as run from its first moment, whether or not it is cancelled later: the strictest reading
+      // for checks that a request was not run.
+      recordRun(request);
       await clock.sleep(computeWork(fault), cancelled.signal);
       if (cancelled.signal.aborted) return;
-      runs.push({
-        requestId: String(request.headers['fescuewheel-request-id'] ?? ''),
-        method: request.method ?? '',
-        path: request.url ?? '',
-        key: String(request.headers['idempotency-key'] ?? ''),
-        atMs: clock.getTime(),
-      });
       await writeAnswer(fault, request, response, body, cancelled.signal);
     } finally {
       inFlight -= 1;
     }
   }
 
+  function recordRun(request: IncomingMessage): void {
+    const run: Run = {
+      requestId: String(request.headers['fescuewheel-request-id'] ?? ''),
+      method: request.method ?? '',
+      path: request.url ?? '',
+      key: String(request.headers['idempotency-key'] ?? ''),
+      atMs: clock.getTime(),
+    };
+    runs.push(run);
+    if (run.method !== 'GET') options.onRun?.(run);
+  }
+
   async function writeAnswer(
     fault: FaultMode,
     request: IncomingMessage,
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -3,7 +3,7 @@
 import {runEvery, systemClock} from '../base/index.js';
 import {buildBackendServer} from './backend_server.js';
 import {buildLogService} from './log_service.js';
-import {openRelay} from './relay.js';
+import {buildRelayControl, openRelay} from './relay.js';
 
 const announcePeriodMs = 500;
 
@@ -20,7 +20,10 @@
 }
 
 async function runBackend(flags: BackendFlags): Promise<void> {
-  const server = buildBackendServer(flags);
+  const server = buildBackendServer({
+    ...flags,
+    onRun: run => console.log(JSON.stringify({run})),
+  });
   await server.app.listen({host: flags.address, port: flags.port});
   const {port} = server.app.server.address() as {port: number};
   const incarnation = Math.floor(systemClock.getTime());
@@ -101,9 +104,14 @@
       address: flags.address,
       port: Number(flags.port),
       target: flags.target,
-      controlPort: Number(flags.controlPort),
     });
-    console.log(JSON.stringify(relay));
+    const control = buildRelayControl(relay);
+    await control.listen({
+      host: flags.address,
+      port: Number(flags.controlPort),
+    });
+    const {port} = control.server.address() as {port: number};
+    console.log(JSON.stringify({listening: relay.address, control: port}));
   });
 cli.help();
 cli.parse();
--- a/src/standins/relay.ts
+++ b/src/standins/relay.ts
@@ -1,5 +1,5 @@
 import {createConnection, createServer, Socket} from 'node:net';
-import Fastify from 'fastify';
+import Fastify, {FastifyInstance} from 'fastify';
 
 /** Where the relay listens and where it leads. */
 export interface RelayOptions {
@@ -7,13 +7,6 @@
   readonly port: number;
   /** host:port */
   readonly target: string;
-  readonly controlPort: number;
-}
-
-/** Ports the relay got. */
-export interface RelayPorts {
-  readonly listening: number;
-  readonly control: number;
 }
 
 /**
@@ -26,9 +19,19 @@
   readonly reply: boolean;
 }
 
-/** Opens a TCP relay whose directions can be cut by source through `POST /cuts`. */
-export async function openRelay(options: RelayOptions): Promise<RelayPorts> {
+/** A TCP relay whose directions can be cut by source. */
+export interface Relay {
+  /** host:port it listens on. */
+  readonly address: string;
+  /** Replaces all cuts. */
+  setCuts(cuts: readonly Cut[]): void;
+  close(): void;
+}
+
+/** Opens a relay to a target. */
+export async function openRelay(options: RelayOptions): Promise<Relay> {
   let cuts: readonly Cut[] = [];
+  const sockets = new Set<Socket>();
   const [host, port] = options.target.split(':');
 
   function isCut(source: string, direction: 'request' | 'reply'): boolean {
@@ -39,13 +42,25 @@
 
   function handleConnection(incoming: Socket): void {
     const source = incoming.remoteAddress ?? '';
-    const outgoing = createConnection({host, port: Number(port)});
-    incoming.on('data', bytes => {
-      if (!isCut(source, 'request')) outgoing.write(bytes);
-    });
-    outgoing.on('data', bytes => {
-      if (!isCut(source, 'reply')) incoming.write(bytes);
+    const outgoing = createConnection({
+      host,
+      port: Number(port),
+      localAddress: source,
     });
+    outgoing.setNoDelay(true);
+    // Bytes lost by a cut leave a gap that TCP would never deliver across, so such a connection carries nothing
+    // more in that direction even after the cut ends.
+    const lost = {request: false, reply: false};
+    const forward = (
+      direction: 'request' | 'reply',
+      to: Socket,
+      bytes: Buffer,
+    ): void => {
+      if (isCut(source, direction)) lost[direction] = true;
+      if (!lost[direction]) to.write(bytes);
+    };
+    incoming.on('data', bytes => forward('request', outgoing, bytes));
+    outgoing.on('data', bytes => forward('reply', incoming, bytes));
     // A close crosses a cut link no more than data does; the far side notices by silence only.
     incoming.on('close', () => {
       if (!isCut(source, 'request')) outgoing.destroy();
@@ -53,22 +68,36 @@
     outgoing.on('close', () => {
       if (!isCut(source, 'reply')) incoming.destroy();
     });
-    incoming.on('error', () => incoming.destroy());
-    outgoing.on('error', () => outgoing.destroy());
+    for (const socket of [incoming, outgoing]) {
+      sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+      socket.on('close', () => sockets.delete(socket));
+    }
   }
 
   const server = createServer({noDelay: true}, handleConnection);
   await new Promise<void>(resolve =>
     server.listen(options.port, options.address, resolve),
   );
+  const listening = (server.address() as {port: number}).port;
+  return {
+    address: `${options.address}:${listening}`,
+    setCuts: next => {
+      cuts = next;
+    },
+    close: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+/** Builds the HTTP control of a relay that runs as its own process: `POST /cuts` with a list of cuts. */
+export function buildRelayControl(relay: Relay): FastifyInstance {
   const control = Fastify();
   control.post<{Body: readonly Cut[]}>('/cuts', async request => {
-    cuts = request.body;
-    return cuts;
+    relay.setCuts(request.body);
+    return request.body;
   });
-  await control.listen({host: options.address, port: options.controlPort});
-  return {
-    listening: (server.address() as {port: number}).port,
-    control: (control.server.address() as {port: number}).port,
-  };
+  return control;
 }
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -5,6 +5,7 @@
 import {request} from 'undici';
 import {systemClock} from '../base/index.js';
 import {Change} from '../config/index.js';
+import {Cut, openRelay, Relay, Run} from '../standins/index.js';
 import {RunningProcess, startProcess} from './process.js';
 
 /** Secrets of local fleets. */
@@ -22,6 +23,8 @@
   readonly admin: string;
   readonly announce: string;
   readonly configPath: string;
+  /** Relays before the data and peer ports, whose directions can be cut. */
+  readonly relays: readonly Relay[];
   process: RunningProcess;
 }
 
@@ -34,6 +37,11 @@
   process: RunningProcess;
 }
 
+interface LinkCut {
+  readonly from: string;
+  readonly to: string;
+}
+
 /** Shape of one node with its backend servers. */
 export interface NodePlan {
   readonly id: string;
@@ -85,11 +93,15 @@
   logUrl = '';
   private log: RunningProcess | undefined;
   private readonly folder = mkdtempSync(join(tmpdir(), 'fescuewheel-'));
+  private endedRuns: readonly Run[] = [];
   private seeds: readonly string[] = [];
+  private plans: readonly NodePlan[] = [];
+  private cuts: readonly LinkCut[] = [];
 
   /** Starts the log stand-in, all nodes and all backend servers. */
   static async start(plans: readonly NodePlan[]): Promise<LocalFleet> {
     const fleet = new LocalFleet();
+    fleet.plans = plans;
     await fleet.startLog();
     await fleet.prepareNodes(plans);
     await Promise.all(plans.map(plan => fleet.startNode(plan.id)));
@@ -134,6 +146,38 @@
     });
   }
 
+  /** Starts the backend server anew in its VM, as a new incarnation. */
+  async restartBackend(id: string): Promise<void> {
+    const old = this.getBackend(id);
+    old.process.kill('SIGKILL');
+    await old.process.ended;
+    this.endedRuns = [...this.endedRuns, ...readRuns(old.process)];
+    const plan = this.plans
+      .flatMap(node => node.backends)
+      .find(backend => backend.id === id);
+    if (plan) await this.startBackend(old.node, plan);
+  }
+
+  /** Runs of methods other than GET on all backend servers, also those that ended since. */
+  listRuns(): readonly Run[] {
+    const running = [...this.backends.values()].flatMap(backend =>
+      readRuns(backend.process),
+    );
+    return [...this.endedRuns, ...running];
+  }
+
+  /** Cuts bytes from one node to another; replies to its requests pass unless the other way is cut too. */
+  cutLink(from: string, to: string): void {
+    this.cuts = [...this.cuts, {from, to}];
+    this.applyCuts();
+  }
+
+  /** Ends all cuts. */
+  healLinks(): void {
+    this.cuts = [];
+    this.applyCuts();
+  }
+
   getNode(id: string): LocalNode {
     const node = this.nodes.get(id);
     if (!node) throw new Error(`no node ${id} in this fleet`);
@@ -199,6 +243,11 @@
     await postJson(`${this.getBackend(id).url}/faults`, faults);
   }
 
+  /** Makes a backend server announce that it drains. */
+  async drainBackend(id: string): Promise<void> {
+    await postJson(`${this.getBackend(id).url}/drain`, {});
+  }
+
   /** Waits until the check holds; throws with its description after the time given. */
   async waitUntil(
     description: string,
@@ -225,9 +274,28 @@
       child?.kill('SIGKILL');
     }
     await Promise.all(running.map(child => child?.ended));
+    for (const node of this.nodes.values()) {
+      for (const relay of node.relays) relay.close();
+    }
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  // Bytes from A to B are the requests of A at B's relays and the replies to B at A's relays.
+  private applyCuts(): void {
+    for (const node of this.nodes.values()) {
+      const cuts: Cut[] = [...this.nodes.values()].map(other => ({
+        source: other.address,
+        request: this.isCut(other.id, node.id),
+        reply: this.isCut(node.id, other.id),
+      }));
+      for (const relay of node.relays) relay.setCuts(cuts);
+    }
+  }
+
+  private isCut(from: string, to: string): boolean {
+    return this.cuts.some(cut => cut.from === from && cut.to === to);
+  }
+
   private async startLog(): Promise<void> {
     this.log = startProcess('standins/main.js', ['log']);
     this.logUrl = `http://127.0.0.1:${await readListening(this.log)}`;
@@ -237,15 +305,22 @@
     const prepared = await Promise.all(
       plans.map(async (plan, index) => {
         const address = `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`;
-        return {plan, address, ports: await findFreePorts(address, 5)};
+        const ports = await findFreePorts(address, 5);
+        const relays = await Promise.all(
+          [ports[1], ports[2]].map(port =>
+            openRelay({address, port: 0, target: `${address}:${port}`}),
+          ),
+        );
+        return {plan, address, ports, relays};
       }),
     );
-    this.seeds = prepared
-      .slice(0, 3)
-      .map(({address, ports}) => `${address}:${ports[2]}`);
-    for (const {plan, address, ports} of prepared) {
+    this.seeds = prepared.slice(0, 3).map(({relays}) => relays[1].address);
+    for (const {plan, address, ports, relays} of prepared) {
       const configPath = join(this.folder, `${plan.id}.toml`);
-      writeFileSync(configPath, this.renderSettings(plan, address, ports));
+      writeFileSync(
+        configPath,
+        this.renderSettings(plan, address, ports, relays),
+      );
       this.nodes.set(plan.id, {
         id: plan.id,
         dataCentre: plan.dataCentre,
@@ -254,6 +329,7 @@
         announce: `${address}:${ports[3]}`,
         admin: `${address}:${ports[4]}`,
         configPath,
+        relays,
         process: undefined as unknown as RunningProcess,
       });
     }
@@ -263,6 +339,7 @@
     plan: NodePlan,
     address: string,
     ports: readonly number[],
+    relays: readonly Relay[],
   ): string {
     return `
 [node]
@@ -276,6 +353,9 @@
 peers = ${ports[2]}
 announce = ${ports[3]}
 admin = ${ports[4]}
+[advertise]
+data = "${relays[0].address}"
+peers = "${relays[1].address}"
 [peers]
 seeds = ${JSON.stringify(this.seeds)}
 cluster_key = "${localSecrets.clusterKey}"
@@ -288,6 +368,12 @@
   }
 }
 
+function readRuns(child: RunningProcess): readonly Run[] {
+  return child.lines
+    .filter(line => line.startsWith('{"run"'))
+    .map(line => (JSON.parse(line) as {run: Run}).run);
+}
+
 async function readListening(child: RunningProcess): Promise<number> {
   const line = await child.waitForLine(text => text.includes('"listening"'));
   return (JSON.parse(line) as {listening: number}).listening;
--- /dev/null
+++ b/src/testing/scenario/index.ts
@@ -0,0 +1,4 @@
+export * from './checks.js';
+export * from './events.js';
+export * from './language.js';
+export * from './world.js';
