--- /dev/null
+++ b/src/bench/latency.ts
@@ -0,0 +1,167 @@
+import {build as buildHistogram} from 'hdr-histogram-js';
+import {readFileSync} from 'node:fs';
+import {Agent} from 'undici';
+import {hashSecret, systemClock} from '../base/index.js';
+import {LocalFleet} from '../testing/index.js';
+
+// Latency that the fleet adds: the same request through one node to a backend server beside another node, through
+// the node beside the backend server itself, and made directly, alternating in one run. Also CPU and memory of the
+// entry node, idle and loaded. Usage: node dist/src/bench/latency.js [seconds]
+
+const secondsPerRun = Number(process.argv[2] ?? 15);
+const callerToken = 'latency-caller-0001';
+const ticksPerSecond = 100; // USER_HZ of Linux
+
+interface Figures {
+  readonly p50: number;
+  readonly p99: number;
+  readonly count: number;
+  readonly errors: number;
+}
+
+async function measureLatency(
+  urls: readonly string[],
+  ratePerSecond: number,
+): Promise<readonly Figures[]> {
+  const agent = new Agent({connections: 100, pipelining: 1});
+  const runs = urls.map(() => ({
+    histogram: buildHistogram({numberOfSignificantValueDigits: 3}),
+    errors: 0,
+  }));
+  const total = Math.round(ratePerSecond * secondsPerRun);
+  const start = systemClock.getTime();
+  const pending: Promise<void>[] = [];
+  for (let i = 0; i < total * urls.length; i += 1) {
+    const due = start + (i * 1000) / (ratePerSecond * urls.length);
+    const wait = due - systemClock.getTime();
+    if (wait > 0) await systemClock.sleep(wait);
+    pending.push(send(i));
+  }
+  await Promise.all(pending);
+  await agent.close();
+  return runs.map(({histogram, errors}) => ({
+    p50: histogram.getValueAtPercentile(50) / 1000,
+    p99: histogram.getValueAtPercentile(99) / 1000,
+    count: histogram.totalCount,
+    errors,
+  }));
+
+  async function send(index: number): Promise<void> {
+    const run = runs[index % urls.length];
+    const before = systemClock.getTime();
+    try {
+      const answer = await agent.request({
+        origin: urls[index % urls.length],
+        path: `/records/${index}`,
+        method: 'GET',
+        headers: {authorization: `Bearer ${callerToken}`},
+      });
+      await answer.body.dump();
+      if (answer.statusCode !== 200) throw new Error('status');
+      const tookUs = Math.round((systemClock.getTime() - before) * 1000);
+      // Skips the first second, in which connections are made and code is compiled.
+      if (before - start > 1000) run.histogram.recordValue(Math.max(1, tookUs));
+    } catch {
+      run.errors += 1;
+    }
+  }
+}
+
+function readUsage(pid: number): {cpuMs: number; residentMb: number} {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const kb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {cpuMs: (ticks * 1000) / ticksPerSecond, residentMb: kb / 1024};
+}
+
+async function measureUsage(
+  pid: number,
+  label: string,
+  work: () => Promise<void>,
+): Promise<void> {
+  const before = readUsage(pid);
+  const start = systemClock.getTime();
+  await work();
+  const after = readUsage(pid);
+  const share = (after.cpuMs - before.cpuMs) / (systemClock.getTime() - start);
+  console.log(
+    `${label}: ${(100 * share).toFixed(1)}% of a core, ${after.residentMb.toFixed(0)} MB resident`,
+  );
+}
+
+function printFigures(label: string, figures: Figures, direct: Figures): void {
+  console.log(
+    `  ${label}: p50 ${figures.p50.toFixed(2)} ms, p99 ${figures.p99.toFixed(2)} ms, ` +
+      `added ${(figures.p50 - direct.p50).toFixed(2)} / ${(figures.p99 - direct.p99).toFixed(2)} ms, ` +
+      `${figures.count} requests, ${figures.errors} errors`,
+  );
+}
+
+const backend = {
+  id: 'lookup-desk-1',
+  service: 'lookup-desk',
+  pool: 'lookup-desk',
+  slots: 100,
+  workMs: 0,
+};
+const fleet = await LocalFleet.start(
+  [
+    {id: 'n1', dataCentre: 'tamworth', region: 'midlands', backends: [backend]},
+    {id: 'n2', dataCentre: 'lichfield', region: 'midlands', backends: []},
+  ],
+  {relays: false},
+);
+try {
+  await fleet.applyChanges('n1', [
+    {
+      kind: 'add-service',
+      service: 'lookup-desk',
+      floor: 1,
+      preset: 'prompt',
+    },
+    {
+      kind: 'add-pool',
+      pool: 'lookup-desk',
+      service: 'lookup-desk',
+      expected: 1,
+    },
+    {kind: 'set-partner', partner: 'docks', weight: 1},
+    {
+      kind: 'add-account',
+      account: 'crew',
+      partner: 'docks',
+      tokenHash: hashSecret(callerToken),
+    },
+    {
+      kind: 'add-route',
+      route: 'records',
+      host: '*',
+      pathPrefix: '/records',
+      service: 'lookup-desk',
+    },
+  ]);
+  await systemClock.sleep(3000);
+  const pid = fleet.getNode('n2').process.child.pid ?? 0;
+  await measureUsage(pid, 'entry node, idle', () => systemClock.sleep(5000));
+  const direct = fleet.getBackend('lookup-desk-1').url;
+  const paths = [
+    {label: 'one hop (entry is the guard)', node: 'n1'},
+    {label: 'two hops (entry, guard)', node: 'n2'},
+  ];
+  for (const rate of [87, 870]) {
+    for (const {label, node} of paths) {
+      const target = fleet.getNode(node);
+      const pid = target.process.child.pid ?? 0;
+      const urls = [direct, `http://${target.callers}`];
+      await measureUsage(pid, `node at ${rate} requests/s`, async () => {
+        const [base, through] = await measureLatency(urls, rate);
+        printFigures('direct', base, base);
+        printFigures(label, through, base);
+      });
+    }
+  }
+} finally {
+  await fleet.stop();
+}
--- /dev/null
+++ b/src/testing/demo.ts
@@ -0,0 +1,75 @@
+import {makeSummary} from './summary.js';
+import {getServerId, World} from './scenario/index.js';
+import {systemClock} from '../base/index.js';
+
+// The built-in local set-up: a log service, nine backend servers in three data centres with a node beside each,
+// callers; one backend server turns gray; the operator changes a rule.
+
+const world = new World();
+
+function report(text: string): void {
+  console.log(`- ${text}`);
+}
+
+function formatSeconds(ms: number): string {
+  return `${(ms / 1000).toFixed(1)} s`;
+}
+
+try {
+  report(
+    'starting a log service, 9 backend servers of lookup-desk and 9 nodes in tamworth, lichfield, nuneaton',
+  );
+  await world.start({
+    service: 'lookup-desk',
+    count: 9,
+    slots: 3,
+    floor: 6,
+    preset: 'prompt',
+  });
+  report(
+    'the configuration was planned and confirmed; all backend servers announced themselves to all nodes',
+  );
+  world.startLoad('GET', 150, false);
+  await systemClock.sleep(4000);
+  report('callers look up 150 times a second through all nodes');
+  const sick = getServerId(world, 4);
+  await world.fleet.setBackendFaults(sick, {mode: 'slow', slowMs: 800});
+  world.mark();
+  await world.fleet.waitUntil('ejection', 20_000, () =>
+    world.isEverywhere(status =>
+      status.services[0].servers.some(
+        ({server, verdict}) => server === sick && verdict.kind === 'excluded',
+      ),
+    ),
+  );
+  report(
+    `${sick} turned slow while its health endpoint says ok; it was out of service on all nodes after ${formatSeconds(systemClock.getTime() - world.markMs)}`,
+  );
+  const changes = [
+    {kind: 'set-floor' as const, service: 'lookup-desk', floor: 5},
+  ];
+  const plan = (await world.fleet.callAdmin('n3', 'POST', '/v1/plans', {
+    changes,
+  })) as {plan: string};
+  report(
+    `an operator planned through n3: floor of lookup-desk 6 -> 5 (plan ${plan.plan})`,
+  );
+  world.mark();
+  const {version} = (await world.fleet.callAdmin(
+    'n3',
+    'POST',
+    `/v1/plans/${plan.plan}/confirm`,
+    {},
+  )) as {version: number};
+  await world.fleet.waitUntil('version', 6000, () =>
+    world.isEverywhere(status => status.version === version),
+  );
+  report(
+    `confirmed; version ${version} was in force on all 9 nodes after ${formatSeconds(systemClock.getTime() - world.markMs)}`,
+  );
+  await systemClock.sleep(2000);
+  const summary = makeSummary(await world.finishLoad());
+  report(`callers: ${summary}`);
+} finally {
+  await world.stop();
+}
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -7,12 +7,7 @@
 import {Change} from '../config/index.js';
 import {Cut, openRelay, Relay, Run} from '../standins/index.js';
 import {RunningProcess, startProcess} from './process.js';
-
-/** Secrets of local fleets. */
-export const localSecrets = {
-  operatorToken: 'local-operator-token',
-  clusterKey: 'local-cluster-key-0001',
-};
+import {localSecrets, renderSettings} from './settings_text.js';
 
 /** A node of a local fleet. */
 export interface LocalNode {
@@ -37,6 +32,12 @@
   process: RunningProcess;
 }
 
+/** How a local fleet is set up. */
+export interface FleetOptions {
+  /** Whether links between nodes pass relays that can be cut; measurements of latency do without. */
+  readonly relays: boolean;
+}
+
 interface LinkCut {
   readonly from: string;
   readonly to: string;
@@ -93,14 +94,19 @@
   logUrl = '';
   private log: RunningProcess | undefined;
   private readonly folder = mkdtempSync(join(tmpdir(), 'fescuewheel-'));
+  private options: FleetOptions = {relays: true};
   private endedRuns: readonly Run[] = [];
   private seeds: readonly string[] = [];
   private plans: readonly NodePlan[] = [];
   private cuts: readonly LinkCut[] = [];
 
   /** Starts the log stand-in, all nodes and all backend servers. */
-  static async start(plans: readonly NodePlan[]): Promise<LocalFleet> {
+  static async start(
+    plans: readonly NodePlan[],
+    options: FleetOptions = {relays: true},
+  ): Promise<LocalFleet> {
     const fleet = new LocalFleet();
+    fleet.options = options;
     fleet.plans = plans;
     await fleet.startLog();
     await fleet.prepareNodes(plans);
@@ -306,20 +312,35 @@
       plans.map(async (plan, index) => {
         const address = `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`;
         const ports = await findFreePorts(address, 5);
+        const relayed = this.options.relays ? [ports[1], ports[2]] : [];
         const relays = await Promise.all(
-          [ports[1], ports[2]].map(port =>
+          relayed.map(port =>
             openRelay({address, port: 0, target: `${address}:${port}`}),
           ),
         );
         return {plan, address, ports, relays};
       }),
     );
-    this.seeds = prepared.slice(0, 3).map(({relays}) => relays[1].address);
+    this.seeds = prepared
+      .slice(0, 3)
+      .map(
+        ({address, ports, relays}) =>
+          relays[1]?.address ?? `${address}:${ports[2]}`,
+      );
     for (const {plan, address, ports, relays} of prepared) {
       const configPath = join(this.folder, `${plan.id}.toml`);
       writeFileSync(
         configPath,
-        this.renderSettings(plan, address, ports, relays),
+        renderSettings({
+          id: plan.id,
+          dataCentre: plan.dataCentre,
+          region: plan.region,
+          address,
+          ports,
+          relays,
+          seeds: this.seeds,
+          logUrl: this.logUrl,
+        }),
       );
       this.nodes.set(plan.id, {
         id: plan.id,
@@ -334,38 +355,6 @@
       });
     }
   }
-
-  private renderSettings(
-    plan: NodePlan,
-    address: string,
-    ports: readonly number[],
-    relays: readonly Relay[],
-  ): string {
-    return `
-[node]
-id = "${plan.id}"
-data_centre = "${plan.dataCentre}"
-region = "${plan.region}"
-address = "${address}"
-[ports]
-callers = ${ports[0]}
-data = ${ports[1]}
-peers = ${ports[2]}
-announce = ${ports[3]}
-admin = ${ports[4]}
-[advertise]
-data = "${relays[0].address}"
-peers = "${relays[1].address}"
-[peers]
-seeds = ${JSON.stringify(this.seeds)}
-cluster_key = "${localSecrets.clusterKey}"
-[log]
-url = "${this.logUrl}"
-timeout = "1s"
-[admin]
-operator_token = "${localSecrets.operatorToken}"
-`;
-  }
 }
 
 function readRuns(child: RunningProcess): readonly Run[] {
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,3 +1,5 @@
 export * from './fleet.js';
 export * from './process.js';
 export * from './load.js';
+export * from './settings_text.js';
+export * from './summary.js';
