Connect from the node's own address; add scenarios of partitions, kills, leaving, keys, configuration

Cause: a scenario with a cut node passed without any effect of the cut. undici takes localAddress as an option of its client and drops it from the options of its connector, so nodes connected from 127.0.0.1. Ruled out: the relay, whose cuts by source worked as asked.

--- a/src/entry/remote_guard.ts
+++ b/src/entry/remote_guard.ts
@@ -27,7 +27,8 @@
       // Shorter than the data port's 75 s, so that this side closes idle connections first and no request is
       // sent into a closing one.
       keepAliveTimeout: 60_000,
-      connect: {timeout: 1000, localAddress},
+      localAddress,
+      connect: {timeout: 1000},
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -63,7 +63,8 @@
       connections: 512,
       pipelining: 1,
       keepAliveTimeout: 4000,
-      connect: {timeout: 1000, localAddress},
+      localAddress,
+      connect: {timeout: 1000},
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/src/logservice/client.ts
+++ b/src/logservice/client.ts
@@ -64,10 +64,8 @@
   const agent = new Agent({
     connections: 16,
     keepAliveTimeout: 30_000,
-    connect: {
-      timeout: options.timeoutMs,
-      localAddress: options.localAddress,
-    },
+    localAddress: options.localAddress,
+    connect: {timeout: options.timeoutMs},
   });
 
   async function request<A>(
--- a/src/nodecalls/node_calls.ts
+++ b/src/nodecalls/node_calls.ts
@@ -73,7 +73,8 @@
     this.agent = new Agent({
       connections: 8,
       keepAliveTimeout: 60_000,
-      connect: {timeout: 1000, localAddress},
+      localAddress,
+      connect: {timeout: 1000},
     });
   }
 
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -172,6 +172,12 @@
     return [...this.endedRuns, ...running];
   }
 
+  /** All runs of one backend server since its start, by its own account. */
+  async fetchRuns(id: string): Promise<readonly Run[]> {
+    const answer = await request(`${this.getBackend(id).url}/runs`);
+    return (await answer.body.json()) as readonly Run[];
+  }
+
   /** Cuts bytes from one node to another; replies to its requests pass unless the other way is cut too. */
   cutLink(from: string, to: string): void {
     this.cuts = [...this.cuts, {from, to}];
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -7,6 +7,8 @@
   /** Unique text in the path, so that an answer can be matched to its request. */
   readonly token: string;
   readonly method: 'GET' | 'POST';
+  /** host:port of the node that it was sent to. */
+  readonly target: string;
   readonly atMs: Millis;
   readonly tookMs: Millis;
   readonly outcome: ExchangeOutcome;
@@ -109,7 +111,7 @@
     const atMs = this.clock.getTime();
     const outcome = await this.request(target, token, key);
     const tookMs = this.clock.getTime() - atMs;
-    return {token, method, atMs, tookMs, outcome, key};
+    return {token, method, target, atMs, tookMs, outcome, key};
   }
 
   private async request(
@@ -145,7 +147,8 @@
       }
       return readAnswer(answer.statusCode, answer.headers, bytes, token);
     } catch (error) {
-      return {kind: 'broken', error: String(error)};
+      const {code} = error as {code?: string};
+      return {kind: 'broken', error: `${String(error)} ${code ?? ''}`};
     }
   }
 }
--- a/src/testing/run.ts
+++ b/src/testing/run.ts
@@ -33,7 +33,9 @@
 ): void {
   const match = /^(not ok|ok) \d+ - (.*)$/.exec(line);
   if (!match) return;
-  const title = match[2].replace(/ # (SKIP|TODO).*$/, '').trim();
+  // With several files ava puts the path before the title.
+  const path = match[2].replace(/ # (SKIP|TODO).*$/, '');
+  const title = path.split(' › ').pop()?.trim() ?? path;
   if (match[1] === 'ok') {
     tally.passed += 1;
   } else if (knownRed.has(title)) {
--- a/src/testing/scenario/checks.ts
+++ b/src/testing/scenario/checks.ts
@@ -22,6 +22,45 @@
   );
 }
 
+async function assertNothingRun(
+  world: World,
+  index: number,
+  seconds: number,
+): Promise<void> {
+  const limit = world.markMs + seconds * 1000;
+  await systemClock.sleep(limit + 3000 - systemClock.getTime());
+  const runs = await world.fleet.fetchRuns(getServerId(world, index));
+  const late = runs.filter(run => run.atMs > limit + resolutionMs);
+  assert.deepEqual(late.slice(0, 3), [], `${late.length} runs too late`);
+}
+
+async function assertOnlyExcluded(
+  world: World,
+  vm: number,
+  node: number,
+): Promise<void> {
+  const status = await world.getStatus(`n${node}`);
+  assert.ok(status, `n${node} does not answer`);
+  const excluded = status.services[0].servers
+    .filter(({verdict}) => verdict.kind === 'excluded')
+    .map(({server}) => server);
+  const others = excluded.filter(server => server !== getServerId(world, vm));
+  assert.deepEqual(others, []);
+}
+
+async function assertOnlyTurnedAway(world: World, node: number): Promise<void> {
+  const exchanges = await world.finishLoad();
+  const bad = exchanges.filter(({target, outcome}) => {
+    if (outcome.kind === 'answered') return !outcome.own;
+    const turnedAway =
+      outcome.kind === 'refused'
+        ? outcome.error === 'leaving'
+        : /ECONNREFUSED/.test(outcome.error);
+    return !(turnedAway && target === world.fleet.getNode(`n${node}`).callers);
+  });
+  assert.deepEqual(bad.slice(0, 3), [], `${bad.length} of ${exchanges.length}`);
+}
+
 async function assertWorkAgain(
   world: World,
   index: number,
@@ -192,6 +231,18 @@
     assertWorkAgain,
   ),
   makeStep("every answer is whole and the caller's own", assertOwnAnswers),
+  makeStep(
+    'backend server {int} runs no new work after {int} second(s)',
+    assertNothingRun,
+  ),
+  makeStep(
+    'no healthy server but that of VM {int} was excluded on node {int}',
+    assertOnlyExcluded,
+  ),
+  makeStep(
+    'no answer was broken and only node {int} turned callers away',
+    assertOnlyTurnedAway,
+  ),
   makeStep('every request is answered', assertAllAnswered),
   makeStep(
     '{float} percent of requests are answered within {int} ms',
