Add a tool that breaks one mechanism at a time and expects its proof to fail

A proof that cannot fail proves nothing. Each break is a text replacement in a copy of the compiled program; a text that no longer stands exactly once is an error, so that a break cannot silently become void.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,7 +43,7 @@
 };
 
 export default [
-  {ignores: ['dist/', 'node_modules/', 'bin/', 'eslint.config.js']},
+  {ignores: ['dist/', 'node_modules/', 'bin/', 'eslint.config.js', 'ava.config.js', 'dist-broken/']},
   ...gts,
   {
     files: ['src/**/*.ts', 'test/**/*.ts'],
--- /dev/null
+++ b/src/testing/break.ts
@@ -0,0 +1,81 @@
+import {spawnSync} from 'node:child_process';
+import {cpSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {parse} from 'smol-toml';
+
+// Shows that a proof depends on its mechanism: breaks one mechanism at a time in a copy of the compiled program and
+// runs the proof, which must fail. Usage: node dist/src/testing/break.js [NAME...]; the breaks are listed in
+// test/breaks.toml.
+
+interface Break {
+  readonly name: string;
+  /** Compiled file, below dist/. */
+  readonly file: string;
+  /** Text that stands exactly once in the file. */
+  readonly find: string;
+  readonly replace: string;
+  /** Compiled test file, below dist/. */
+  readonly proof: string;
+  /** Part of the title of the test that must fail. */
+  readonly title: string;
+}
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+const brokenFolder = 'dist-broken';
+
+function readBreaks(names: readonly string[]): readonly Break[] {
+  const text = readFileSync(`${root}test/breaks.toml`, 'utf8');
+  const {break: all} = parse(text) as unknown as {break: readonly Break[]};
+  return names.length === 0 ? all : all.filter(b => names.includes(b.name));
+}
+
+function applyBreak({name, file, find, replace}: Break): void {
+  rmSync(root + brokenFolder, {recursive: true, force: true});
+  cpSync(`${root}dist`, root + brokenFolder, {recursive: true});
+  const path = `${root}${brokenFolder}/${file}`;
+  const text = readFileSync(path, 'utf8');
+  const count = text.split(find).length - 1;
+  if (count !== 1) {
+    throw new Error(`${name}: "${find}" stands ${count} times in ${file}`);
+  }
+  writeFileSync(
+    path,
+    text.replace(find, () => replace),
+  );
+}
+
+/** Runs the proof on the broken copy; tells whether it failed. */
+function runProof({proof, title}: Break): boolean {
+  const result = spawnSync(
+    process.execPath,
+    [
+      `${root}node_modules/ava/entrypoints/cli.mjs`,
+      '--tap',
+      `--match=*${title}*`,
+      `${brokenFolder}/${proof}`,
+    ],
+    {
+      cwd: root,
+      encoding: 'utf8',
+      env: {...process.env, AVA_FILES: `${brokenFolder}/${proof}`},
+    },
+  );
+  if (!/^(not )?ok \d+/m.test(result.stdout)) {
+    throw new Error(`no test ran: ${result.stdout}${result.stderr}`);
+  }
+  return /^not ok \d+/m.test(result.stdout);
+}
+
+let survived = 0;
+const breaks = readBreaks(process.argv.slice(2));
+for (const item of breaks) {
+  applyBreak(item);
+  const failed = runProof(item);
+  if (!failed) survived += 1;
+  console.log(`${failed ? 'red' : 'STILL GREEN'}: ${item.name}: ${item.title}`);
+}
+rmSync(root + brokenFolder, {recursive: true, force: true});
+console.log(
+  `${breaks.length - survived} of ${breaks.length} breaks turn their proof red`,
+);
+process.exitCode = survived === 0 ? 0 : 1;
