Prove all promises under each fault in one outline of scenarios

Each row brings one fault to VM 3 while a change is confirmed, a backend server drains, a node is stopped gracefully, and callers look up and file with keys.

--- a/src/testing/scenario/checks.ts
+++ b/src/testing/scenario/checks.ts
@@ -48,6 +48,12 @@
   assert.deepEqual(others, []);
 }
 
+async function assertNoneBroken(world: World): Promise<void> {
+  const exchanges = await world.finishLoad();
+  const broken = exchanges.filter(({outcome}) => outcome.kind === 'broken');
+  assert.deepEqual(broken.slice(0, 3), [], `${broken.length} broken`);
+}
+
 async function assertOnlyTurnedAway(world: World, node: number): Promise<void> {
   const exchanges = await world.finishLoad();
   const bad = exchanges.filter(({target, outcome}) => {
@@ -243,6 +249,7 @@
     'no answer was broken and only node {int} turned callers away',
     assertOnlyTurnedAway,
   ),
+  makeStep('no answer was cut short', assertNoneBroken),
   makeStep('every request is answered', assertAllAnswered),
   makeStep(
     '{float} percent of requests are answered within {int} ms',
--- a/src/testing/scenario/events.ts
+++ b/src/testing/scenario/events.ts
@@ -47,6 +47,14 @@
   world.notes.set('version', version);
 }
 
+async function requestFloor(world: World, floor: number, node: number) {
+  try {
+    await setFloor(world, floor, node);
+  } catch (error) {
+    world.notes.set('refusal', String(error));
+  }
+}
+
 async function waitSeconds(seconds: number): Promise<void> {
   await systemClock.sleep(seconds * 1000);
 }
@@ -72,6 +80,16 @@
     (world, rate: number, node: number) =>
       world.startLoad('GET', rate, false, [`n${node}`]),
   ),
+  makeEvent(
+    'callers look up {int} times a second through nodes {int} and {int}',
+    (world, rate: number, a: number, b: number) =>
+      world.startLoad('GET', rate, false, [`n${a}`, `n${b}`]),
+  ),
+  makeEvent(
+    'callers file {int} instructions a second with keys through nodes {int} and {int}',
+    (world, rate: number, a: number, b: number) =>
+      world.startLoad('POST', rate, true, [`n${a}`, `n${b}`]),
+  ),
   makeEvent(
     'callers file {int} instructions a second with keys',
     (world, rate: number) => world.startLoad('POST', rate, true),
@@ -125,6 +143,7 @@
   makeEvent('node {int} starts again', (world, index: number) =>
     world.fleet.startNode(`n${index}`),
   ),
+  makeEvent('nothing else happens', () => undefined),
   makeEvent(
     'node {int} is stopped gracefully',
     async (world, index: number) => {
@@ -175,6 +194,10 @@
     'the operator sets the floor to {int} through node {int}',
     (world, floor: number, node: number) => setFloor(world, floor, node),
   ),
+  makeEvent(
+    'the operator tries to set the floor to {int} through node {int}',
+    (world, floor: number, node: number) => requestFloor(world, floor, node),
+  ),
   makeEvent(
     'the operator retires backend server {int}',
     (world, index: number) =>
--- a/src/testing/scenario/language.ts
+++ b/src/testing/scenario/language.ts
@@ -5,6 +5,7 @@
 } from '@cucumber/cucumber-expressions';
 import {
   AstBuilder,
+  compile,
   GherkinClassicTokenMatcher,
   Parser,
 } from '@cucumber/gherkin';
@@ -46,21 +47,17 @@
   path: string,
   definitions: readonly StepDefinition<World>[],
 ): readonly Scenario<World>[] {
+  const makeId = IdGenerator.incrementing();
   const parser = new Parser(
-    new AstBuilder(IdGenerator.incrementing()),
+    new AstBuilder(makeId),
     new GherkinClassicTokenMatcher(),
   );
-  const {feature} = parser.parse(readFileSync(path, 'utf8'));
-  const background = (feature?.children ?? []).flatMap(
-    child => child.background?.steps ?? [],
-  );
-  return (feature?.children ?? []).flatMap(({scenario}) => {
-    if (!scenario) return [];
-    const steps = [...background, ...scenario.steps].map(({text}) =>
-      matchStep(path, text, definitions),
-    );
-    return [{name: scenario.name, steps}];
-  });
+  const document = parser.parse(readFileSync(path, 'utf8'));
+  // A pickle is a scenario with its background, or one row of an outline's examples.
+  return compile(document, path, makeId).map(pickle => ({
+    name: pickle.name,
+    steps: pickle.steps.map(({text}) => matchStep(path, text, definitions)),
+  }));
 }
 
 function matchStep<World>(
