--- /dev/null
+++ b/src/admin/plans.ts
@@ -0,0 +1,115 @@
+import {FastifyInstance} from 'fastify';
+import * as E from 'fp-ts/lib/Either.js';
+import {asId, ConflictError, NotFoundError, PlanId} from '../base/index.js';
+import {
+  applyChanges,
+  checkReady,
+  ConfigOperator,
+  describePlan,
+  findConflict,
+  findOutcome,
+  listObjects,
+  PendingPlan,
+} from '../config/index.js';
+import {parseConfirmBody, parsePlanBody} from './input.js';
+import {listAnnounced, ViewSources} from './views.js';
+
+/** What the plan calls need. */
+export interface PlanOptions extends ViewSources {
+  readonly operator: ConfigOperator;
+}
+
+function makePlanView(options: PlanOptions, plan: PendingPlan) {
+  const state = options.follower.getState();
+  const {config} = state;
+  const after = applyChanges(config, plan.changes, config.version);
+  const conflict =
+    findConflict(state, plan) ??
+    (E.isLeft(after) ? after.left.message : undefined);
+  return {
+    plan: plan.plan,
+    state: 'pending',
+    baseVersion: plan.baseVersion,
+    objects: listObjects(config, plan.changes),
+    conflict: conflict ?? null,
+    steps: E.isLeft(after)
+      ? []
+      : describePlan(config, after.right, plan.changes, id => {
+          const service = config.services[id];
+          return service ? listAnnounced(options, service) : [];
+        }),
+    changes: plan.changes,
+  };
+}
+
+function getPlanView(options: PlanOptions, id: PlanId) {
+  const state = options.follower.getState();
+  const pending = state.plans.get(id);
+  if (pending) return makePlanView(options, pending);
+  const outcome = findOutcome(state, id);
+  if (outcome) return {state: outcome.kind, ...outcome};
+  throw new NotFoundError(
+    `plan ${id} is not known; list the plans, or plan anew`,
+  );
+}
+
+function checkReadyNow(options: PlanOptions, plan: PendingPlan): void {
+  const config = options.follower.getConfiguration();
+  checkReady(config, plan.changes, id => {
+    const service = config.services[id];
+    return service ? listAnnounced(options, service) : [];
+  });
+}
+
+/** Adds the calls for plans and their confirmation. */
+export function registerPlanCalls(
+  app: FastifyInstance,
+  options: PlanOptions,
+): void {
+  const {follower, operator} = options;
+
+  app.post('/v1/plans', async request => {
+    const {changes, planId} = parsePlanBody(request.body);
+    const config = follower.getConfiguration();
+    checkReady(config, changes, id => {
+      const service = config.services[id];
+      return service ? listAnnounced(options, service) : [];
+    });
+    return makePlanView(options, await operator.plan(changes, planId));
+  });
+
+  app.get('/v1/plans', async () => {
+    const {plans, outcomes} = follower.getState();
+    return {
+      pending: [...plans.values()].map(plan => ({
+        plan: plan.plan,
+        baseVersion: plan.baseVersion,
+        changes: plan.changes.length,
+        kinds: [...new Set(plan.changes.map(change => change.kind))],
+      })),
+      confirmed: [...outcomes].map(([confirmationId, outcome]) => ({
+        confirmationId,
+        ...outcome,
+      })),
+    };
+  });
+
+  app.get<{Params: {plan: string}}>('/v1/plans/:plan', async request =>
+    getPlanView(options, asId<PlanId>(request.params.plan)),
+  );
+
+  app.post<{Params: {plan: string}}>(
+    '/v1/plans/:plan/confirm',
+    async request => {
+      const {confirmationId} = parseConfirmBody(request.body);
+      const id = asId<PlanId>(request.params.plan);
+      const known =
+        confirmationId && follower.getState().outcomes.has(confirmationId);
+      const pending = follower.getState().plans.get(id);
+      if (pending && !known) checkReadyNow(options, pending);
+      const outcome = await operator.confirm(id, confirmationId);
+      if (outcome.kind === 'refused') throw new ConflictError(outcome.reason);
+      return outcome;
+    },
+  );
+}
--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,69 +1,59 @@
-import {randomUUID} from 'node:crypto';
 import Fastify, {FastifyInstance} from 'fastify';
-import * as E from 'fp-ts/lib/Either.js';
-import * as t from 'io-ts';
+import {Registry} from 'prom-client';
 import {
-  Clock,
-  ConflictError,
-  decodeWith,
+  AccountId,
+  asId,
+  describeError,
   InvalidInputError,
   isSameSecret,
   Logger,
-  LogUnavailableError,
-  Millis,
   NotFoundError,
+  ServiceId,
   UnauthorizedError,
 } from '../base/index.js';
+import {getErrorStatus, makeErrorBody} from './errors.js';
+import {registerFleetMetrics} from './metrics.js';
+import {PlanOptions, registerPlanCalls} from './plans.js';
 import {
-  applyChange,
-  Change,
-  changeCodec,
-  ConfigFollower,
-  ConfigState,
-  Service,
-} from '../config/index.js';
-import {JudgedServer} from '../health/index.js';
-import {Roster} from '../membership/index.js';
+  listAccounts,
+  makeAccountView,
+  makeConfigView,
+  makeServiceView,
+  makeStatusView,
+} from './views.js';
 
 /** What the administration API shows and changes. */
-export interface AdminOptions {
+export interface AdminOptions extends PlanOptions {
   readonly token: string;
-  readonly follower: ConfigFollower;
-  readonly roster: Roster;
-  readonly judge: (service: Service) => readonly JudgedServer[];
-  readonly clock: Clock;
+  /** Metrics of the whole node. */
+  readonly registry: Registry;
   readonly logger: Logger;
 }
 
-const confirmWaitMs: Millis = 5000;
-const changesCodec = t.type({changes: t.array(changeCodec)});
+// A plan record is at most 1 MiB; its JSON from a client may have white space.
+const maxBodyBytes = 4 * 1024 * 1024;
+const maxAccounts = 1000;
 
-function getStatus(error: unknown): number {
-  if (error instanceof UnauthorizedError) return 401;
-  if (error instanceof InvalidInputError) return 400;
-  if (error instanceof NotFoundError) return 404;
-  if (error instanceof ConflictError) return 409;
-  if (error instanceof LogUnavailableError) return 503;
-  return (error as {statusCode?: number}).statusCode ?? 500;
-}
-
-function checkChanges(state: ConfigState, changes: readonly Change[]): void {
-  let config = state.config;
-  for (const change of changes) {
-    const changed = applyChange(config, change);
-    if (E.isLeft(changed)) throw changed.left;
-    config = changed.right;
-  }
-}
-
-/** Builds the administration API under /v1. */
+/** Builds the administration API under /v1, and /metrics; every call needs the operator token. */
 export function buildAdminServer(options: AdminOptions): FastifyInstance {
-  const {follower, roster} = options;
-  const app = Fastify({forceCloseConnections: true});
-
-  app.setErrorHandler((error, _request, reply) => {
-    const {name, message} = error as Error;
-    return reply.code(getStatus(error)).send({error: {kind: name, message}});
+  const app = Fastify({
+    forceCloseConnections: true,
+    bodyLimit: maxBodyBytes,
+  });
+  app.setErrorHandler((error, request, reply) => {
+    const status = getErrorStatus(error);
+    if (status === 500) {
+      options.logger.error(
+        {path: request.url, error: describeError(error)},
+        'administration call failed',
+      );
+    }
+    return reply.code(status).send(makeErrorBody(error));
+  });
+  app.setNotFoundHandler(request => {
+    throw new NotFoundError(
+      `${request.method} ${request.url.slice(0, 80)} does not exist; the calls are listed in docs/api.md`,
+    );
   });
   app.addHook('onRequest', async request => {
     const given = request.headers.authorization ?? '';
@@ -73,69 +63,67 @@
       );
     }
   });
+  registerPlanCalls(app, options);
+  registerReads(app, options);
+  registerFleetMetrics(options.registry, options);
+  return app;
+}
 
-  app.post('/v1/plans', async request => {
-    const body = decodeWith(changesCodec, request.body);
-    if (E.isLeft(body)) throw body.left;
-    const state = follower.getState();
-    checkChanges(state, body.right.changes);
-    const plan = randomUUID();
-    await follower.append({
-      kind: 'plan',
-      plan,
-      baseVersion: state.config.version,
-      changes: body.right.changes,
-    });
-    return {
-      plan,
-      baseVersion: state.config.version,
-      changes: body.right.changes,
-    };
-  });
+function registerReads(app: FastifyInstance, options: AdminOptions): void {
+  const {follower, roster, registry} = options;
 
-  app.post<{Params: {plan: string}}>(
-    '/v1/plans/:plan/confirm',
+  app.get('/v1/config', async () =>
+    makeConfigView(follower.getConfiguration()),
+  );
+  app.get('/v1/nodes', async () => roster.list());
+  app.get('/v1/status', async () => makeStatusView(options));
+  app.get('/v1/services', async () =>
+    Object.values(follower.getConfiguration().services).map(service =>
+      makeServiceView(options, service),
+    ),
+  );
+  app.get<{Params: {service: string}}>(
+    '/v1/services/:service',
     async request => {
-      const confirmation = randomUUID();
-      const {plan} = request.params;
-      await follower.append({kind: 'confirm', plan, confirmation});
-      const outcome = await follower.waitForOutcome(
-        confirmation,
-        confirmWaitMs,
-      );
-      if (!outcome) {
-        throw new LogUnavailableError(
-          'the confirmation was not read back in time; ask for the status before confirming again',
+      const id = asId<ServiceId>(request.params.service);
+      const service = follower.getConfiguration().services[id];
+      if (!service) {
+        throw new NotFoundError(
+          `service ${id} does not exist; list /v1/services`,
         );
       }
-      if (outcome.kind === 'refused') throw new ConflictError(outcome.reason);
-      return outcome;
+      return makeServiceView(options, service);
     },
   );
-
-  app.get('/v1/config', async () => follower.getConfiguration());
-  app.get('/v1/nodes', async () => roster.list());
-  app.get('/v1/status', async () => {
-    const config = follower.getConfiguration();
-    return {
-      version: config.version,
-      nodes: roster.list().map(record => ({
-        node: record.node,
-        dataCentre: record.dataCentre,
-        state: record.state,
-        configVersion: record.configVersion,
-      })),
-      services: Object.values(config.services).map(service => ({
-        service: service.id,
-        floor: service.floor,
-        servers: options.judge(service).map(({known, verdict}) => ({
-          server: known.report.server,
-          node: known.record.node,
-          phase: known.report.phase,
-          verdict,
-        })),
-      })),
-    };
+  app.get<{Querystring: {after?: string; limit?: string; partner?: string}}>(
+    '/v1/accounts',
+    async request => {
+      const {after, partner, limit = '100'} = request.query;
+      const count = Number(limit);
+      if (!Number.isInteger(count) || count < 1 || count > maxAccounts) {
+        throw new InvalidInputError(
+          `limit: expected a whole number from 1 to ${maxAccounts}, got ${limit}`,
+        );
+      }
+      const config = follower.getConfiguration();
+      return listAccounts(config, after ?? '', count, partner);
+    },
+  );
+  app.get<{Params: {account: string}}>(
+    '/v1/accounts/:account',
+    async request => {
+      const id = asId<AccountId>(request.params.account);
+      const account = follower.getConfiguration().accounts[id];
+      if (!account) {
+        throw new NotFoundError(
+          `account ${id} does not exist; list /v1/accounts`,
+        );
+      }
+      return makeAccountView(account);
+    },
+  );
+  app.get('/metrics', async (_request, reply) => {
+    void reply.header('content-type', registry.contentType);
+    return registry.metrics();
   });
-  return app;
 }
--- /dev/null
+++ b/src/admin/views.ts
@@ -0,0 +1,123 @@
+import {
+  Account,
+  AnnouncedServer,
+  ConfigFollower,
+  Configuration,
+  describeHold,
+  Service,
+} from '../config/index.js';
+import {JudgedServer} from '../health/index.js';
+import {Roster} from '../membership/index.js';
+
+/** What the views read. */
+export interface ViewSources {
+  readonly follower: ConfigFollower;
+  readonly roster: Roster;
+  readonly judge: (service: Service) => readonly JudgedServer[];
+}
+
+/** Servers of a service as plans count them: ready means usable by the exclusion rule. */
+export function listAnnounced(
+  sources: ViewSources,
+  service: Service,
+): readonly AnnouncedServer[] {
+  return sources.judge(service).map(({known, verdict}) => ({
+    server: known.report.server,
+    pool: known.report.pool,
+    ready: verdict.kind === 'usable',
+  }));
+}
+
+/** One service with its servers and the reason of each exclusion. */
+export function makeServiceView(sources: ViewSources, service: Service) {
+  const config = sources.follower.getConfiguration();
+  const servers = sources.judge(service).map(({known, verdict}) => ({
+    server: known.report.server,
+    pool: known.report.pool,
+    node: known.record.node,
+    dataCentre: known.record.dataCentre,
+    phase: known.report.phase,
+    health: known.report.health,
+    verdict,
+  }));
+  const pools = Object.values(config.pools)
+    .filter(pool => pool.service === service.id)
+    .map(pool => ({
+      pool: pool.id,
+      expected: pool.expected,
+      announced: servers.filter(item => item.pool === pool.id).length,
+    }));
+  const retired = Object.values(config.retired).filter(
+    item => item === service.id,
+  );
+  return {
+    service: service.id,
+    floor: service.floor,
+    rule: service.rule,
+    timeoutMs: service.timeoutMs,
+    stallMs: service.stallMs,
+    queuePerServer: service.queuePerServer,
+    expected: pools.reduce((sum, pool) => sum + pool.expected, 0),
+    retired: retired.length,
+    usable: servers.filter(item => item.verdict.kind === 'usable').length,
+    pools,
+    servers,
+  };
+}
+
+/** What is in force, where, and which servers are left out and why. */
+export function makeStatusView(sources: ViewSources) {
+  const {follower, roster} = sources;
+  const state = follower.getState();
+  const hold = follower.getHold();
+  const logAgeMs = follower.getLogAge();
+  return {
+    version: state.config.version,
+    next: state.next,
+    loaded: follower.isLoaded(),
+    hold: hold ? describeHold(hold) : null,
+    logAgeMs: logAgeMs === undefined ? null : Math.round(logAgeMs),
+    badRecords: state.badRecords,
+    pendingPlans: state.plans.size,
+    nodes: roster.list().map(record => ({
+      node: record.node,
+      dataCentre: record.dataCentre,
+      state: record.state,
+      configVersion: record.configVersion,
+    })),
+    services: Object.values(state.config.services).map(service =>
+      makeServiceView(sources, service),
+    ),
+  };
+}
+
+/** An account without its token hash. */
+export function makeAccountView(account: Account): Omit<Account, 'tokenHash'> {
+  const {id, partner, ratePerSecond, concurrency} = account;
+  return {id, partner, ratePerSecond, concurrency};
+}
+
+/** The configuration without token hashes. */
+export function makeConfigView(config: Configuration) {
+  const accounts = Object.values(config.accounts).map(account => [
+    account.id,
+    makeAccountView(account),
+  ]);
+  return {...config, accounts: Object.fromEntries(accounts)};
+}
+
+/** Part of the accounts in order of their ids. */
+export function listAccounts(
+  config: Configuration,
+  after: string,
+  limit: number,
+  partner: string | undefined,
+) {
+  const ids = Object.values(config.accounts)
+    .filter(account => account.id > after)
+    .filter(account => partner === undefined || account.partner === partner)
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
+  const accounts = ids.slice(0, limit).map(makeAccountView);
+  const last = accounts[accounts.length - 1];
+  return {accounts, next: ids.length > limit ? last.id : null};
+}
--- a/src/base/decode.ts
+++ b/src/base/decode.ts
@@ -2,17 +2,27 @@
 import * as t from 'io-ts';
 import {InvalidInputError} from './errors.js';
 
+const maxShownLength = 100;
+
+// Unions and intersections number their members in the context; those numbers are no part of the value's path.
+function isMemberNumber(context: t.Context, index: number): boolean {
+  const parent = context[index - 1]?.type as {_tag?: string} | undefined;
+  return parent?._tag === 'IntersectionType' || parent?._tag === 'UnionType';
+}
+
 /** Path and expectation of the first mismatch, such as `slots: expected number`. */
 function describeMismatch(errors: t.Errors): string {
   const deepest = errors.reduce((best, error) =>
     error.context.length > best.context.length ? error : best,
   );
   const path = deepest.context
+    .filter((_entry, index) => !isMemberNumber(deepest.context, index))
     .map(entry => entry.key)
     .filter(key => key !== '')
     .join('.');
   const expected = deepest.context[deepest.context.length - 1].type.name;
-  return `${path || 'value'}: expected ${expected}, got ${JSON.stringify(deepest.value)}`;
+  const shown = String(JSON.stringify(deepest.value)).slice(0, maxShownLength);
+  return `${path || 'value'}: expected ${expected}, got ${shown}`;
 }
 
 /** Decodes a value from outside; Left names the field and what was expected. */
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -94,13 +94,20 @@
   readonly retired: Readonly<Record<BackendServerId, ServiceId>>;
 }
 
+/**
+ * Copies a table without a prototype, so that an id such as `constructor` finds nothing that nobody put there.
+ */
+export function makeTable<T extends object>(entries: T): T {
+  return Object.assign(Object.create(null), entries) as T;
+}
+
 /** The configuration before the first confirmation. */
 export const emptyConfiguration: Configuration = {
   version: -1,
-  services: {},
-  pools: {},
-  routes: {},
-  partners: {},
-  accounts: {},
-  retired: {},
+  services: makeTable({}),
+  pools: makeTable({}),
+  routes: makeTable({}),
+  partners: makeTable({}),
+  accounts: makeTable({}),
+  retired: makeTable({}),
 };
--- /dev/null
+++ b/src/config/describe.ts
@@ -0,0 +1,222 @@
+import {asId, assertNever, ConflictError, ServiceId} from '../base/index.js';
+import {Change} from './change_codec.js';
+import {Configuration} from './configuration.js';
+
+/** A backend server that announced itself. */
+export interface AnnouncedServer {
+  readonly server: string;
+  readonly pool: string;
+  /** Announced as ready, not retired and on a node that can be reached. */
+  readonly ready: boolean;
+}
+
+/** Gives the backend servers of a service as the node that is asked knows them. */
+export type ListAnnounced = (service: ServiceId) => readonly AnnouncedServer[];
+
+/** What one change of a plan will do and when. */
+export interface PlanStep {
+  readonly kind: Change['kind'];
+  readonly sentence: string;
+  readonly data: Readonly<Record<string, string | number | boolean>>;
+}
+
+const inForce = 'Within 6 s of the confirmation, on every node:';
+
+function listRetiring(
+  changes: readonly Change[],
+  service: string,
+): ReadonlySet<string> {
+  return new Set(
+    changes.flatMap(change =>
+      change.kind === 'retire-server' && change.service === service
+        ? [change.server]
+        : [],
+    ),
+  );
+}
+
+/** Throws a ConflictError if the retirements of a plan would leave fewer ready servers than a floor. */
+export function checkReady(
+  config: Configuration,
+  changes: readonly Change[],
+  listAnnounced: ListAnnounced,
+): void {
+  for (const change of changes) {
+    if (change.kind !== 'retire-server') continue;
+    const service = config.services[asId<ServiceId>(change.service)];
+    if (!service) continue;
+    const {remaining, floor} = countRemaining(
+      config,
+      changes,
+      service.id,
+      listAnnounced,
+    );
+    if (remaining >= floor) continue;
+    throw new ConflictError(
+      `retiring ${change.server} would leave ${remaining} ready backend servers of ${service.id}, below its floor of ${floor}; add capacity and wait until it is ready, or lower the floor`,
+    );
+  }
+}
+
+function countRemaining(
+  config: Configuration,
+  changes: readonly Change[],
+  service: ServiceId,
+  listAnnounced: ListAnnounced,
+): {remaining: number; floor: number} {
+  const retiring = listRetiring(changes, service);
+  const floors = changes.flatMap(change =>
+    change.kind === 'set-floor' && change.service === service
+      ? [change.floor]
+      : [],
+  );
+  const remaining = listAnnounced(service).filter(
+    item => item.ready && !retiring.has(item.server),
+  ).length;
+  return {
+    remaining,
+    floor: floors[floors.length - 1] ?? config.services[service]?.floor ?? 0,
+  };
+}
+
+/** Says for each change what it will do; `after` is the configuration with all changes applied. */
+export function describePlan(
+  config: Configuration,
+  after: Configuration,
+  changes: readonly Change[],
+  listAnnounced: ListAnnounced,
+): readonly PlanStep[] {
+  return changes.map(change => {
+    const {kind, ...data} = change;
+    const plain = Object.entries(data).filter(
+      ([key, value]) => key !== 'tokenHash' && typeof value !== 'object',
+    );
+    const [sentence, figures] = describeChange(change, {
+      config,
+      after,
+      changes,
+      listAnnounced,
+    });
+    return {
+      kind,
+      sentence,
+      data: {...Object.fromEntries(plain), ...figures} as PlanStep['data'],
+    };
+  });
+}
+
+interface Context {
+  readonly config: Configuration;
+  readonly after: Configuration;
+  readonly changes: readonly Change[];
+  readonly listAnnounced: ListAnnounced;
+}
+
+type Described = readonly [string, PlanStep['data']?];
+
+function describeRetire(
+  change: Extract<Change, {kind: 'retire-server'}>,
+  context: Context,
+): Described {
+  const {remaining, floor} = countRemaining(
+    context.config,
+    context.changes,
+    asId<ServiceId>(change.service),
+    context.listAnnounced,
+  );
+  return [
+    `From the confirmation on, ${change.server} receives no new work within 2 s; its requests in flight end; ${remaining} ready backend servers of ${change.service} remain, floor ${floor}.`,
+    {readyRemaining: remaining, floor, noNewWorkWithinMs: 2000},
+  ];
+}
+
+function describePool(name: string, context: Context): Described {
+  const pool = Object.values(context.after.pools).find(
+    item => item.id === name,
+  );
+  if (!pool) return [`${inForce} pool ${name} is no longer planned for.`];
+  const announced = context
+    .listAnnounced(pool.service)
+    .filter(item => item.pool === name);
+  const ready = announced.filter(item => item.ready).length;
+  return [
+    `${inForce} pool ${name} of ${pool.service} expects ${pool.expected} backend servers; ${announced.length} have announced themselves, ${ready} are ready; further ones take work as soon as they announce that they are ready.`,
+    {
+      service: pool.service,
+      expected: pool.expected,
+      announced: announced.length,
+      ready,
+    },
+  ];
+}
+
+function describeChange(change: Change, context: Context): Described {
+  switch (change.kind) {
+    case 'retire-server':
+      return describeRetire(change, context);
+    case 'add-pool':
+    case 'add-capacity':
+    case 'remove-capacity':
+    case 'remove-pool':
+      return describePool(change.pool, context);
+    case 'remove-retirement':
+      return [
+        `${inForce} ${change.server} is no longer retired; if it announces that it is ready, it receives work.`,
+      ];
+    case 'add-service':
+      return [
+        `${inForce} service ${change.service} exists with floor ${change.floor} and the preset ${change.preset ?? 'careful'}.`,
+      ];
+    case 'remove-service':
+      return [`${inForce} service ${change.service} no longer exists.`];
+    case 'set-rule': {
+      const figures = Object.entries(change.rule)
+        .map(([key, value]) => `${key} ${value}`)
+        .join(', ');
+      const preset = change.preset ? `the preset ${change.preset}` : '';
+      const parts = [preset, figures]
+        .filter(part => part !== '')
+        .join(' with ');
+      return [
+        `${inForce} the ejection rule of ${change.service} is changed to ${parts || 'itself'}; ejections in progress keep their end.`,
+      ];
+    }
+    case 'set-floor': {
+      const ready = context
+        .listAnnounced(asId<ServiceId>(change.service))
+        .filter(item => item.ready).length;
+      return [
+        `${inForce} ejection keeps at least ${change.floor} ready backend servers of ${change.service}; ${ready} are ready.`,
+        {ready},
+      ];
+    }
+    case 'add-route':
+      return [
+        `${inForce} requests of host ${change.host} below ${change.pathPrefix} go to ${change.service}.`,
+      ];
+    case 'remove-route':
+      return [
+        `${inForce} route ${change.route} takes no new requests; those in flight end.`,
+      ];
+    case 'set-partner':
+      return [
+        `${inForce} partner ${change.partner} has weight ${change.weight} where slots are contended.`,
+      ];
+    case 'remove-partner':
+      return [`${inForce} partner ${change.partner} no longer exists.`];
+    case 'add-account':
+      return [
+        `${inForce} account ${change.account} of partner ${change.partner} is admitted.`,
+      ];
+    case 'remove-account':
+      return [
+        `${inForce} account ${change.account} is refused; its requests in flight end.`,
+      ];
+    case 'set-limit':
+      return [
+        `${inForce} each node admits ${change.ratePerSecond || 'any number of'} requests/s and ${change.concurrency || 'any number'} at once from ${change.account}.`,
+      ];
+    default:
+      return assertNever(change);
+  }
+}
--- a/src/config/fold.ts
+++ b/src/config/fold.ts
@@ -1,107 +1,225 @@
 import * as E from 'fp-ts/lib/Either.js';
-import * as t from 'io-ts';
-import {asId, decodeWith, PlanId} from '../base/index.js';
-import {applyChange, changeCodec} from './change.js';
+import {asId, PlanId} from '../base/index.js';
+import {applyChanges, listObjects} from './change.js';
 import {Configuration, emptyConfiguration} from './configuration.js';
+import {BadReason, ConfigRecord, OpenedRecord, PlanRecord} from './record.js';
 
-const planCodec = t.type({
-  kind: t.literal('plan'),
-  plan: t.string,
-  baseVersion: t.number,
-  changes: t.array(changeCodec),
-});
-const confirmCodec = t.type({
-  kind: t.literal('confirm'),
-  plan: t.string,
-  confirmation: t.string,
-});
-
-/** A record of the stream `config`. */
-export const configRecordCodec = t.union([planCodec, confirmCodec]);
-/** A record of the stream `config`. */
-export type ConfigRecord = t.TypeOf<typeof configRecordCodec>;
-/** An operator's plan as recorded. */
-export type PlanRecord = t.TypeOf<typeof planCodec>;
+// Bounds of what a fold remembers besides the configuration. Every node applies them at the same records.
+const maxPlans = 256;
+const maxPlansLength = 4 * 1024 * 1024;
+const maxOutcomes = 512;
+const maxRecent = 512;
+const maxRecentObjects = 20_000;
 
 /** What became of a confirmation. */
 export type ConfirmOutcome =
-  | {readonly kind: 'in-force'; readonly version: number}
-  | {readonly kind: 'refused'; readonly reason: string};
+  | {
+      readonly kind: 'in-force';
+      readonly plan: PlanId;
+      readonly version: number;
+    }
+  | {readonly kind: 'refused'; readonly plan: PlanId; readonly reason: string};
+
+/** A plan that waits for its confirmation. */
+export interface PendingPlan extends PlanRecord {
+  readonly offset: number;
+  /** Length of the record's text. */
+  readonly length: number;
+}
+
+/** The objects that one confirmation changed. */
+export interface RecentChange {
+  readonly version: number;
+  readonly objects: readonly string[];
+}
 
 /** The fold of the stream `config` up to an offset. */
 export interface ConfigState {
   /** Offset of the next record to fold. */
   readonly next: number;
   readonly config: Configuration;
-  readonly plans: Readonly<Record<PlanId, PlanRecord>>;
-  readonly confirmations: Readonly<Record<string, ConfirmOutcome>>;
-  readonly badRecords: number;
+  /** Plans that wait for confirmation, oldest first: at most 256 and 4 MiB of text; the oldest make room. */
+  readonly plans: ReadonlyMap<PlanId, PendingPlan>;
+  /** Outcomes by confirmation id: the newest 512, oldest first. */
+  readonly outcomes: ReadonlyMap<string, ConfirmOutcome>;
+  /** What the newest confirmations changed, oldest first: at most 512 of them and 20,000 objects. */
+  readonly recent: readonly RecentChange[];
+  /** Version below which the fold no longer knows what changed; plans on older versions are refused. */
+  readonly horizon: number;
+  readonly badRecords: Readonly<Partial<Record<BadReason, number>>>;
 }
 
 /** The fold of an empty stream. */
 export const emptyConfigState: ConfigState = {
   next: 0,
   config: emptyConfiguration,
-  plans: {},
-  confirmations: {},
-  badRecords: 0,
+  plans: new Map(),
+  outcomes: new Map(),
+  recent: [],
+  horizon: -1,
+  badRecords: {},
 };
 
-function confirmPlan(
+function replaceMap<K, V>(map: ReadonlyMap<K, V>, key: K, value: V): Map<K, V> {
+  return new Map(map).set(key, value);
+}
+
+function addPlan(
+  state: ConfigState,
+  offset: number,
+  length: number,
+  record: PlanRecord,
+): ConfigState {
+  const id = asId<PlanId>(record.plan);
+  // A plan record that was appended again after a lost reply, or replayed, changes nothing.
+  if (state.plans.has(id) || findOutcome(state, id)) return state;
+  const plans = replaceMap(state.plans, id, {...record, offset, length});
+  let total = 0;
+  for (const plan of plans.values()) total += plan.length;
+  for (const [oldest, plan] of plans) {
+    if (plans.size <= maxPlans && total <= maxPlansLength) break;
+    plans.delete(oldest);
+    total -= plan.length;
+  }
+  return {...state, plans};
+}
+
+/** What became of a plan, if it was confirmed. */
+export function findOutcome(
+  state: ConfigState,
+  plan: PlanId,
+): ConfirmOutcome | undefined {
+  for (const outcome of state.outcomes.values()) {
+    if (outcome.plan === plan) return outcome;
+  }
+  return undefined;
+}
+
+/** Says why a plan no longer fits what is in force, or undefined if it does. */
+export function findConflict(
+  state: ConfigState,
+  plan: PlanRecord,
+): string | undefined {
+  const {version} = state.config;
+  if (plan.baseVersion > version) {
+    return `the plan was made on version ${plan.baseVersion}, which is not in force; plan anew`;
+  }
+  if (plan.baseVersion < state.horizon) {
+    return `the plan was made on version ${plan.baseVersion}, too old to tell what changed since; plan anew`;
+  }
+  const touched = new Set(listObjects(state.config, plan.changes));
+  for (const change of state.recent) {
+    if (change.version <= plan.baseVersion) continue;
+    const object = change.objects.find(name => touched.has(name));
+    if (object === undefined) continue;
+    return `${object} was changed by version ${change.version}, after the plan was made on version ${plan.baseVersion}; look at what is in force and plan anew`;
+  }
+  return undefined;
+}
+
+function applyPlan(
   state: ConfigState,
   offset: number,
-  plan: PlanRecord | undefined,
+  plan: PendingPlan,
 ): E.Either<string, Configuration> {
-  if (!plan) return E.left('the plan is not known; make it anew');
-  if (plan.baseVersion !== state.config.version) {
-    return E.left(
-      `the plan was made on version ${plan.baseVersion}, in force is ${state.config.version}; make it anew`,
-    );
+  const conflict = findConflict(state, plan);
+  if (conflict !== undefined) return E.left(conflict);
+  const changed = applyChanges(state.config, plan.changes, offset);
+  return E.isLeft(changed)
+    ? E.left(`${changed.left.message}; then plan anew`)
+    : changed;
+}
+
+function addOutcome(
+  state: ConfigState,
+  confirmation: string,
+  outcome: ConfirmOutcome,
+): ConfigState {
+  const outcomes = replaceMap(state.outcomes, confirmation, outcome);
+  for (const oldest of outcomes.keys()) {
+    if (outcomes.size <= maxOutcomes) break;
+    outcomes.delete(oldest);
+  }
+  const plans = new Map(state.plans);
+  plans.delete(outcome.plan);
+  return {...state, outcomes, plans};
+}
+
+function addRecent(state: ConfigState, change: RecentChange): ConfigState {
+  const recent = [...state.recent, change];
+  let count = recent.reduce((sum, item) => sum + item.objects.length, 0);
+  let {horizon} = state;
+  while (recent.length > maxRecent || count > maxRecentObjects) {
+    const oldest = recent.shift();
+    if (!oldest) break;
+    count -= oldest.objects.length;
+    horizon = oldest.version;
+  }
+  return {...state, recent, horizon};
+}
+
+function confirmPlan(
+  state: ConfigState,
+  offset: number,
+  confirmation: string,
+  planId: PlanId,
+): ConfigState {
+  if (state.outcomes.has(confirmation)) return state;
+  const known = findOutcome(state, planId);
+  // A plan acts once: a second confirmation gets the outcome of the first.
+  if (known) return addOutcome(state, confirmation, known);
+  const plan = state.plans.get(planId);
+  if (!plan) {
+    return addOutcome(state, confirmation, {
+      kind: 'refused',
+      plan: planId,
+      reason: `plan ${planId} is not known or made room for newer plans; plan anew`,
+    });
   }
-  let config = state.config;
-  for (const change of plan.changes) {
-    const changed = applyChange(config, change);
-    if (E.isLeft(changed)) return E.left(changed.left.message);
-    config = changed.right;
+  const result = applyPlan(state, offset, plan);
+  if (E.isLeft(result)) {
+    return addOutcome(state, confirmation, {
+      kind: 'refused',
+      plan: planId,
+      reason: result.left,
+    });
   }
-  return E.right({...config, version: offset});
+  const changed = addRecent(
+    {...state, config: result.right},
+    {version: offset, objects: listObjects(state.config, plan.changes)},
+  );
+  return addOutcome(changed, confirmation, {
+    kind: 'in-force',
+    plan: planId,
+    version: offset,
+  });
 }
 
-/** Folds one record; a bad record changes nothing but its count. */
+/**
+ * Folds one record; a bad record changes nothing but its count. The caller passes records in order without a gap, and
+ * none of a newer format.
+ */
 export function foldRecord(
   state: ConfigState,
   offset: number,
-  value: unknown,
+  opened: Exclude<OpenedRecord<ConfigRecord>, {kind: 'newer'}>,
 ): ConfigState {
-  const next = offset + 1;
-  const decoded = decodeWith(configRecordCodec, value);
-  if (E.isLeft(decoded)) {
-    return {...state, next, badRecords: state.badRecords + 1};
+  const advanced = {...state, next: offset + 1};
+  if (opened.kind === 'bad') {
+    const count = (state.badRecords[opened.reason] ?? 0) + 1;
+    const badRecords = {...state.badRecords, [opened.reason]: count};
+    return {...advanced, badRecords};
   }
-  const record = decoded.right;
+  const {record, length} = opened;
   switch (record.kind) {
     case 'plan':
-      return {
-        ...state,
-        next,
-        plans: {...state.plans, [asId<PlanId>(record.plan)]: record},
-      };
-    case 'confirm': {
-      if (state.confirmations[record.confirmation]) return {...state, next};
-      const result = confirmPlan(
-        state,
+      return addPlan(advanced, offset, length, record);
+    case 'confirm':
+      return confirmPlan(
+        advanced,
         offset,
-        state.plans[asId<PlanId>(record.plan)],
+        record.confirmation,
+        asId<PlanId>(record.plan),
       );
-      const outcome: ConfirmOutcome = E.isRight(result)
-        ? {kind: 'in-force', version: offset}
-        : {kind: 'refused', reason: result.left};
-      return {
-        ...state,
-        next,
-        config: E.isRight(result) ? result.right : state.config,
-        confirmations: {...state.confirmations, [record.confirmation]: outcome},
-      };
-    }
   }
 }
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -1,29 +1,75 @@
 import {Clock, describeError, Logger, Millis} from '../base/index.js';
-import {LogClient} from '../logservice/index.js';
+import {LogClient, LogPage} from '../logservice/index.js';
 import {Configuration} from './configuration.js';
-import {
-  ConfigRecord,
-  ConfigState,
-  ConfirmOutcome,
-  emptyConfigState,
-  foldRecord,
-} from './fold.js';
-
-const configStream = 'config';
-const pageSize = 1000;
-const longPollMs = 10_000;
-const retryMs = 500;
-
-/** Keeps the fold of the configuration stream in step with the log. */
+import {ConfigState, emptyConfigState, foldRecord} from './fold.js';
+import {ConfigPeer, ConfigPeers} from './peers.js';
+import {configRecordCodec, RecordSeal, supportedFormat} from './record.js';
+import {SnapshotStore} from './snapshots.js';
+
+/** The log stream of plans and confirmations. */
+export const configStream = 'config';
+// Records are at most 1 MiB; a page stays within a few tens of megabytes even if all are that long.
+const pageSize = 64;
+const longPollMs: Millis = 10_000;
+const retryMs: Millis = 500;
+const holdRetryMs: Millis = 2000;
+/** Time that the log gets to bring a version that a peer has already. */
+const peerHintDelayMs: Millis = 1000;
+
+/** Why this node does not fold on, though the log answers. */
+export type Hold =
+  | {
+      readonly kind: 'newer-format';
+      readonly offset: number;
+      readonly format: number;
+    }
+  | {
+      readonly kind: 'gap';
+      readonly next: number;
+      readonly firstOffset: number;
+    }
+  | {
+      readonly kind: 'log-behind';
+      readonly next: number;
+      readonly nextOffset: number;
+    };
+
+/** Text of a hold, with the remedy. */
+export function describeHold(hold: Hold): string {
+  switch (hold.kind) {
+    case 'newer-format':
+      return `record ${hold.offset} has format ${hold.format}, this program folds up to ${supportedFormat}; update the program of this node`;
+    case 'gap':
+      return `the log retains records from ${hold.firstOffset} on, ${hold.next} is needed; a snapshot or a peer must bring the rest`;
+    case 'log-behind':
+      return `the log ends at ${hold.nextOffset}, ${hold.next} records are known; the stream ${configStream} was reset or its replica lags`;
+  }
+}
+
+/** What the follower needs from the rest of the node. */
+export interface ConfigFollowerOptions {
+  readonly log: LogClient;
+  readonly clusterKey: string;
+  readonly snapshots: SnapshotStore;
+  readonly peers: Pick<ConfigPeers, 'fetch' | 'fetchFrom'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Keeps the fold of the configuration stream in step with the log; it never goes back. */
 export class ConfigFollower {
+  private readonly seal: RecordSeal;
   private state: ConfigState = emptyConfigState;
+  private loaded = false;
+  private hold: Hold | undefined;
+  private readAtMs: Millis | undefined;
+  private hinted = false;
   private listeners: readonly ((config: Configuration) => void)[] = [];
+  private readonly waiting = new Set<() => void>();
 
-  constructor(
-    private readonly log: LogClient,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-  ) {}
+  constructor(private readonly options: ConfigFollowerOptions) {
+    this.seal = new RecordSeal(options.clusterKey, configStream);
+  }
 
   /** The configuration in force at this node. */
   getConfiguration(): Configuration {
@@ -35,63 +81,226 @@
     return this.state;
   }
 
+  /** Why this node does not fold on, if so. */
+  getHold(): Hold | undefined {
+    return this.hold;
+  }
+
+  /** Whether the configuration was loaded from the log or a peer. */
+  isLoaded(): boolean {
+    return this.loaded;
+  }
+
+  /** Time since the log was last read, undefined if it never was. */
+  getLogAge(): Millis | undefined {
+    const {clock} = this.options;
+    return this.readAtMs === undefined
+      ? undefined
+      : clock.getTime() - this.readAtMs;
+  }
+
   /** Calls the listener with each configuration that comes into force. */
   onChange(listener: (config: Configuration) => void): void {
     this.listeners = [...this.listeners, listener];
   }
 
+  /** Loads from the log and from peers until one of them answered or the signal aborts. */
+  async load(signal: AbortSignal): Promise<void> {
+    const {clock, logger} = this.options;
+    while (!signal.aborted && !this.loaded) {
+      const reason = await this.loadOnce();
+      if (reason === undefined) break;
+      logger.error(
+        {reason},
+        'not serving callers: no configuration from the log or a peer; trying again',
+      );
+      await clock.sleep(retryMs, signal);
+    }
+  }
+
+  /** One try to load; gives the reason if it failed. */
+  async loadOnce(): Promise<string | undefined> {
+    let reason = await this.readAll();
+    const answers = await this.options.peers.fetch(this.state.next);
+    let adopted = false;
+    for (const answer of answers) {
+      if (answer !== 'not-newer') adopted = this.merge(answer) || adopted;
+    }
+    // What a peer brought may close the gap before the retained records.
+    if (reason !== undefined && adopted) reason = await this.readAll();
+    if (reason !== undefined && answers.length === 0) return reason;
+    this.loaded = true;
+    return undefined;
+  }
+
   /** Follows the log until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const {clock, logger} = this.options;
     while (!signal.aborted) {
       try {
         await this.readOnce(longPollMs, signal);
+        if (!this.hold) continue;
+        await this.fetchMissing();
+        await clock.sleep(holdRetryMs, signal);
       } catch (error) {
         if (signal.aborted) return;
-        this.logger.warn({error: describeError(error)}, 'config log not read');
-        await this.clock.sleep(retryMs, signal);
+        logger.warn({error: describeError(error)}, 'config log not read');
+        await clock.sleep(retryMs, signal);
       }
     }
   }
 
-  /** Reads and folds one page. */
-  async readOnce(waitMs: Millis, signal?: AbortSignal): Promise<void> {
-    const page = await this.log.read(
+  /** Reads and folds one page; throws LogUnavailableError. */
+  async readOnce(waitMs: Millis, signal?: AbortSignal): Promise<LogPage> {
+    const page = await this.options.log.read(
       configStream,
       this.state.next,
       pageSize,
       waitMs,
       signal,
     );
-    const before = this.state.config;
-    for (const record of page.records) {
-      if (record.offset < this.state.next) continue;
-      this.state = foldRecord(this.state, record.offset, record.value);
+    this.readAtMs = this.options.clock.getTime();
+    this.setHold(this.foldPage(page));
+    return page;
+  }
+
+  /** Reads up to the present end of the log; throws LogUnavailableError. */
+  async readToEnd(): Promise<void> {
+    for (;;) {
+      const page = await this.readOnce(0);
+      if (this.hold || this.state.next >= page.nextOffset) return;
     }
-    if (this.state.config !== before) {
-      this.logger.info(
-        {version: this.state.config.version},
-        'configuration in force',
+  }
+
+  /** A peer says that it has this version: fetches it from there if the log does not bring it soon. */
+  onPeerVersion(record: Omit<ConfigPeer, 'dataCentre'>, version: number): void {
+    if (this.hinted || !this.loaded) return;
+    if (version <= this.state.config.version) return;
+    this.hinted = true;
+    void this.fetchHinted(record, version).finally(() => {
+      this.hinted = false;
+    });
+  }
+
+  /** Waits until the fold gives a value, or the time is over. */
+  async waitFor<T>(
+    find: (state: ConfigState) => T | undefined,
+    timeoutMs: Millis,
+  ): Promise<T | undefined> {
+    const {clock} = this.options;
+    const end = clock.getTime() + timeoutMs;
+    for (;;) {
+      const found = find(this.state);
+      const leftMs = end - clock.getTime();
+      if (found !== undefined || leftMs <= 0) return found;
+      const changed = new AbortController();
+      const wake = () => changed.abort();
+      this.waiting.add(wake);
+      await clock.sleep(leftMs, changed.signal);
+      this.waiting.delete(wake);
+    }
+  }
+
+  /** Takes a fold from a snapshot or a peer if it is newer; tells whether it was. */
+  merge(state: ConfigState): boolean {
+    const mine = this.state;
+    if (state.next <= mine.next) return false;
+    if (state.config.version < mine.config.version) return false;
+    const isSame = state.config.version === mine.config.version;
+    this.replaceState(isSame ? {...state, config: mine.config} : state);
+    return true;
+  }
+
+  private async readAll(): Promise<string | undefined> {
+    try {
+      const snapshot = await this.options.snapshots.readNewest();
+      if (snapshot) this.merge(snapshot);
+      await this.readToEnd();
+      return this.hold?.kind === 'gap' ? describeHold(this.hold) : undefined;
+    } catch (error) {
+      return describeError(error);
+    }
+  }
+
+  private async fetchMissing(): Promise<void> {
+    const {snapshots, peers} = this.options;
+    const snapshot = await snapshots.readNewest();
+    if (snapshot) this.merge(snapshot);
+    for (const answer of await peers.fetch(this.state.next)) {
+      if (answer !== 'not-newer') this.merge(answer);
+    }
+  }
+
+  private async fetchHinted(
+    record: Omit<ConfigPeer, 'dataCentre'>,
+    version: number,
+  ): Promise<void> {
+    const {clock, logger, peers} = this.options;
+    await clock.sleep(peerHintDelayMs);
+    if (version <= this.state.config.version) return;
+    try {
+      const answer = await peers.fetchFrom(record.dataAddress, this.state.next);
+      if (answer !== 'not-newer') this.merge(answer);
+    } catch (error) {
+      logger.warn(
+        {peer: record.node, error: describeError(error)},
+        'newer configuration not handed over',
       );
-      for (const listener of this.listeners) listener(this.state.config);
     }
   }
 
-  /** Appends a record; a lost reply leaves open whether it took effect. */
-  async append(record: ConfigRecord): Promise<void> {
-    await this.log.append(configStream, [record]);
+  /** Folds what continues the known records; gives the reason to stop before the page's end. */
+  private foldPage(page: LogPage): Hold | undefined {
+    let state = this.state;
+    let hold: Hold | undefined;
+    if (page.nextOffset < state.next) {
+      const {nextOffset} = page;
+      return {kind: 'log-behind', next: state.next, nextOffset};
+    }
+    if (page.firstOffset > state.next) {
+      return {kind: 'gap', next: state.next, firstOffset: page.firstOffset};
+    }
+    for (const {offset, value} of page.records) {
+      if (offset < state.next) continue;
+      if (offset > state.next) {
+        hold = {kind: 'gap', next: state.next, firstOffset: offset};
+        break;
+      }
+      const opened = this.seal.decode(configRecordCodec, value);
+      if (opened.kind === 'newer') {
+        hold = {kind: 'newer-format', offset, format: opened.format};
+        break;
+      }
+      if (opened.kind === 'bad') {
+        this.options.logger.warn(
+          {offset, reason: opened.reason},
+          'bad record skipped',
+        );
+      }
+      state = foldRecord(state, offset, opened);
+    }
+    this.replaceState(state);
+    return hold;
   }
 
-  /** Waits until the outcome of a confirmation was read back from the log. */
-  async waitForOutcome(
-    confirmation: string,
-    timeoutMs: Millis,
-  ): Promise<ConfirmOutcome | undefined> {
-    const end = this.clock.getTime() + timeoutMs;
-    while (this.clock.getTime() < end) {
-      const outcome = this.state.confirmations[confirmation];
-      if (outcome) return outcome;
-      await this.clock.sleep(20);
+  private setHold(hold: Hold | undefined): void {
+    if (hold && hold.kind !== this.hold?.kind) {
+      const reason = describeHold(hold);
+      this.options.logger.error({reason}, 'configuration does not move on');
+    } else if (!hold && this.hold) {
+      this.options.logger.info('configuration moves on');
     }
-    return undefined;
+    this.hold = hold;
+  }
+
+  private replaceState(state: ConfigState): void {
+    if (state === this.state) return;
+    const before = this.state.config;
+    this.state = state;
+    for (const wake of [...this.waiting]) wake();
+    if (state.config === before) return;
+    const {version} = state.config;
+    this.options.logger.info({version}, 'configuration in force');
+    for (const listener of this.listeners) listener(state.config);
   }
 }
--- /dev/null
+++ b/src/config/operator.ts
@@ -0,0 +1,177 @@
+import {randomUUID} from 'node:crypto';
+import * as E from 'fp-ts/lib/Either.js';
+import {
+  asId,
+  Clock,
+  ConflictError,
+  describeError,
+  InvalidInputError,
+  LogUnavailableError,
+  Millis,
+  NotFoundError,
+  PlanId,
+  UnavailableError,
+} from '../base/index.js';
+import {LogClient} from '../logservice/index.js';
+import {applyChanges} from './change.js';
+import {Change} from './change_codec.js';
+import {ConfigState, ConfirmOutcome, findOutcome, PendingPlan} from './fold.js';
+import {configStream, ConfigFollower, describeHold} from './follower.js';
+import {ConfigRecord, maxBodyLength, RecordSeal} from './record.js';
+
+const readBackMs: Millis = 5000;
+/** Wait for the read-back before an append that may be lost is made again. */
+const repeatMs: Millis = 1500;
+
+/** Errors of a connection that was never made: nothing was sent. */
+const unsentCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+function isUnsent(error: unknown): boolean {
+  const {cause} = error as Error;
+  return unsentCodes.has(String((cause as NodeJS.ErrnoException)?.code));
+}
+
+/** Puts plans and confirmations on the log and answers after they were read back. */
+export class ConfigOperator {
+  private readonly seal: RecordSeal;
+
+  constructor(
+    private readonly log: LogClient,
+    private readonly follower: ConfigFollower,
+    clusterKey: string,
+    private readonly clock: Clock,
+  ) {
+    this.seal = new RecordSeal(clusterKey, configStream);
+  }
+
+  /** Checks changes against what is in force and records them as a plan. The same id again gives the same plan. */
+  async plan(
+    changes: readonly Change[],
+    planId: string = randomUUID(),
+  ): Promise<PendingPlan> {
+    const id = asId<PlanId>(planId);
+    await this.readOn();
+    const known = this.follower.getState().plans.get(id);
+    if (known) return this.checkSame(known, changes);
+    this.checkMoving();
+    if (findOutcome(this.follower.getState(), id)) {
+      throw new ConflictError(
+        `plan ${id} was confirmed already; plan anew under another id`,
+      );
+    }
+    const {config} = this.follower.getState();
+    const checked = applyChanges(config, changes, config.version);
+    if (E.isLeft(checked)) throw checked.left;
+    const record: ConfigRecord = {
+      kind: 'plan',
+      plan: id,
+      baseVersion: config.version,
+      changes: [...changes],
+    };
+    return this.append(record, `plan ${id}`, state => state.plans.get(id));
+  }
+
+  /** Confirms a plan and gives the outcome once it was read back. The same confirmation id again acts once. */
+  async confirm(
+    planId: string,
+    confirmationId: string = randomUUID(),
+  ): Promise<ConfirmOutcome> {
+    const plan = asId<PlanId>(planId);
+    await this.readOn();
+    const known = this.follower.getState().outcomes.get(confirmationId);
+    if (known) return this.checkPlan(known, plan, confirmationId);
+    this.checkMoving();
+    const state = this.follower.getState();
+    if (!state.plans.has(plan) && !findOutcome(state, plan)) {
+      throw new NotFoundError(
+        `plan ${plan} is not known; it may have made room for newer ones: plan anew`,
+      );
+    }
+    const outcome = await this.append(
+      {kind: 'confirm', plan: planId, confirmation: confirmationId},
+      `confirmation ${confirmationId}`,
+      current => current.outcomes.get(confirmationId),
+    );
+    return this.checkPlan(outcome, plan, confirmationId);
+  }
+
+  /** Reads what other nodes recorded; a log that is down is reported by the append that follows. */
+  private async readOn(): Promise<void> {
+    await this.follower.readToEnd().catch(() => undefined);
+  }
+
+  private checkMoving(): void {
+    const hold = this.follower.getHold();
+    if (!hold && this.follower.isLoaded()) return;
+    const reason = hold
+      ? describeHold(hold)
+      : 'no configuration was loaded yet';
+    throw new UnavailableError(
+      `this node takes no plans: ${reason}; use another node meanwhile`,
+    );
+  }
+
+  private checkSame(
+    known: PendingPlan,
+    changes: readonly Change[],
+  ): PendingPlan {
+    if (JSON.stringify(known.changes) === JSON.stringify(changes)) return known;
+    throw new ConflictError(
+      `plan ${known.plan} exists with other changes; plan under another id`,
+    );
+  }
+
+  private checkPlan(
+    outcome: ConfirmOutcome,
+    plan: PlanId,
+    confirmationId: string,
+  ): ConfirmOutcome {
+    if (outcome.plan === plan) return outcome;
+    throw new ConflictError(
+      `confirmation ${confirmationId} was given to plan ${outcome.plan}; confirm under another id`,
+    );
+  }
+
+  /** Appends a record, again if the reply was lost, and waits until the fold shows it. */
+  private async append<T>(
+    record: ConfigRecord,
+    name: string,
+    find: (state: ConfigState) => T | undefined,
+  ): Promise<T> {
+    const sealed = this.seal.encode(record);
+    if (sealed.body.length > maxBodyLength) {
+      throw new InvalidInputError(
+        `changes: ${sealed.body.length} characters exceed the ${maxBodyLength} of a record; split them over several plans`,
+      );
+    }
+    const end = this.clock.getTime() + readBackMs;
+    let mayTakeEffect = false;
+    let problem = 'it was not read back in time';
+    for (let attempt = 1; attempt <= 2; attempt += 1) {
+      try {
+        await this.log.append(configStream, [sealed]);
+        mayTakeEffect = true;
+        attempt = 2;
+      } catch (error) {
+        mayTakeEffect ||= !isUnsent(error);
+        problem = describeError(error);
+      }
+      const leftMs = end - this.clock.getTime();
+      const waitMs = attempt === 1 ? Math.min(repeatMs, leftMs) : leftMs;
+      if (!mayTakeEffect) break;
+      const found = await this.follower.waitFor(find, waitMs);
+      if (found !== undefined) return found;
+    }
+    throw new LogUnavailableError(
+      mayTakeEffect
+        ? `${name} may still take effect: ${problem}. Send it again with the same id for the outcome, or ask for the plan before you plan anew; what is in force stays in force meanwhile`
+        : `${name} was not sent and has no effect: ${problem}. What is in force stays in force; try again when the log answers`,
+      {props: {mayTakeEffect}},
+    );
+  }
+}
--- /dev/null
+++ b/src/config/peers.ts
@@ -0,0 +1,146 @@
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {
+  decodeWith,
+  describeError,
+  Logger,
+  Millis,
+  Random,
+  UnavailableError,
+} from '../base/index.js';
+import {NodeCallClient, NodeCallHandlers} from '../nodecalls/index.js';
+import {ConfigState} from './fold.js';
+import {decodeState, EncodedState, encodeState} from './state_codec.js';
+
+const callName = 'config-state';
+const callTimeoutMs: Millis = 5000;
+const triesPerDataCentre = 2;
+
+/** A node that may hand over its fold. */
+export interface ConfigPeer {
+  readonly node: string;
+  readonly dataCentre: string;
+  /** host:port of its data port. */
+  readonly dataAddress: string;
+}
+
+const requestCodec = t.type({next: t.Int});
+const bufferCodec = new t.Type<Buffer, Buffer, unknown>(
+  'bytes',
+  (value): value is Buffer => value instanceof Uint8Array,
+  (value, context) =>
+    value instanceof Uint8Array
+      ? t.success(Buffer.from(value))
+      : t.failure(value, context),
+  value => value,
+);
+const replyCodec = t.type({
+  next: t.Int,
+  state: t.union([
+    t.null,
+    t.type({
+      format: t.number,
+      next: t.Int,
+      version: t.Int,
+      bytes: bufferCodec,
+      proof: t.string,
+    }),
+  ]),
+});
+
+/** What a peer answered: its newer fold, or that it has none newer. */
+export type PeerAnswer = ConfigState | 'not-newer';
+
+/** Asks other nodes for their fold. */
+export class ConfigPeers {
+  constructor(
+    private readonly calls: NodeCallClient,
+    private readonly clusterKey: string,
+    private readonly listPeers: () => readonly ConfigPeer[],
+    private readonly random: Random,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Asks one node in each of two data centres, or of the one there is; gives what was answered. */
+  async fetch(next: number): Promise<readonly PeerAnswer[]> {
+    const byDataCentre = new Map<string, ConfigPeer[]>();
+    for (const peer of this.listPeers()) {
+      const peers = byDataCentre.get(peer.dataCentre) ?? [];
+      byDataCentre.set(peer.dataCentre, [...peers, peer]);
+    }
+    const answers: PeerAnswer[] = [];
+    for (const peers of this.sortRandomly([...byDataCentre.values()])) {
+      if (answers.length === 2) break;
+      const answer = await this.fetchFromAny(this.sortRandomly(peers), next);
+      if (answer) answers.push(answer);
+    }
+    return answers;
+  }
+
+  /** Asks one node; throws UnavailableError, or InvalidInputError for an answer that is not sound. */
+  async fetchFrom(address: string, next: number): Promise<PeerAnswer> {
+    const body = await this.calls.call(
+      address,
+      callName,
+      {next},
+      callTimeoutMs,
+    );
+    const reply = decodeWith(replyCodec, body);
+    if (E.isLeft(reply)) throw reply.left;
+    if (!reply.right.state) return 'not-newer';
+    const state = await decodeState(this.clusterKey, reply.right.state);
+    if (E.isLeft(state)) throw state.left;
+    return state.right;
+  }
+
+  private async fetchFromAny(
+    peers: readonly ConfigPeer[],
+    next: number,
+  ): Promise<PeerAnswer | undefined> {
+    for (const peer of peers.slice(0, triesPerDataCentre)) {
+      try {
+        return await this.fetchFrom(peer.dataAddress, next);
+      } catch (error) {
+        this.logger.warn(
+          {peer: peer.node, error: describeError(error)},
+          'configuration not handed over',
+        );
+      }
+    }
+    return undefined;
+  }
+
+  private sortRandomly<T>(items: readonly T[]): readonly T[] {
+    return items
+      .map(item => ({item, key: this.random()}))
+      .sort((a, b) => a.key - b.key)
+      .map(({item}) => item);
+  }
+}
+
+/** Answers other nodes that ask for this node's fold. */
+export function registerHandover(
+  handlers: NodeCallHandlers,
+  clusterKey: string,
+  source: {isLoaded(): boolean; getState(): ConfigState},
+): void {
+  // Encoding takes tens of milliseconds at full size; nodes that ask together share one encoding.
+  let cached: {state: ConfigState; encoded: Promise<EncodedState>} | undefined;
+  handlers.register(callName, async body => {
+    const request = decodeWith(requestCodec, body);
+    if (E.isLeft(request)) throw request.left;
+    if (!source.isLoaded()) {
+      throw new UnavailableError(
+        'this node has no configuration yet; ask another',
+      );
+    }
+    const state = source.getState();
+    if (state.next <= request.right.next) {
+      return {next: state.next, state: null};
+    }
+    if (cached?.state !== state) {
+      cached = {state, encoded: encodeState(clusterKey, state)};
+    }
+    return {next: state.next, state: await cached.encoded};
+  });
+}
--- /dev/null
+++ b/src/config/record.ts
@@ -0,0 +1,112 @@
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {decodeWith, isSameSecret, signParts} from '../base/index.js';
+import {changeCodec} from './change_codec.js';
+
+/**
+ * Newest format of records and snapshots that this program folds. Raise it with every change of what a record means
+ * or of which changes are valid: all nodes must fold the same records to the same configuration.
+ */
+export const supportedFormat = 1;
+/** Longest text of a record; the bound keeps pending plans within the memory of a node. */
+export const maxBodyLength = 1024 * 1024;
+const maxChanges = 10_000;
+const minIdLength = 8;
+
+const wholeCodec = t.refinement(
+  t.number,
+  value => Number.isSafeInteger(value),
+  'whole number',
+);
+const idCodec = t.refinement(
+  t.string,
+  id => id.length >= minIdLength && /^[A-Za-z0-9._-]{1,64}$/.test(id),
+  'an id of 8 to 64 of A-Z a-z 0-9 . _ -',
+);
+const planCodec = t.type({
+  kind: t.literal('plan'),
+  plan: idCodec,
+  /** Version of the configuration that the operator saw. */
+  baseVersion: wholeCodec,
+  changes: t.refinement(
+    t.array(changeCodec),
+    changes => changes.length > 0 && changes.length <= maxChanges,
+    `1 to ${maxChanges} changes`,
+  ),
+});
+const confirmCodec = t.type({
+  kind: t.literal('confirm'),
+  plan: idCodec,
+  confirmation: idCodec,
+});
+
+/** Shape of plan and confirmation ids. */
+export const recordIdCodec = idCodec;
+/** A record of the stream `config`. */
+export const configRecordCodec = t.union([planCodec, confirmCodec]);
+/** A record of the stream `config`. */
+export type ConfigRecord = t.TypeOf<typeof configRecordCodec>;
+/** An operator's plan as recorded. */
+export type PlanRecord = t.TypeOf<typeof planCodec>;
+
+const sealedCodec = t.type({
+  format: t.number,
+  body: t.string,
+  proof: t.string,
+});
+
+/** What the log holds: a text with the proof that a holder of the cluster key wrote it. */
+export type SealedRecord = t.TypeOf<typeof sealedCodec>;
+
+/** Why a value of the log changes nothing. */
+export type BadReason = 'malformed' | 'forged' | 'too-large' | 'unknown';
+
+/** A value of the log after its proof was checked. */
+export type OpenedRecord<A> =
+  | {readonly kind: 'good'; readonly record: A; readonly length: number}
+  | {readonly kind: 'bad'; readonly reason: BadReason}
+  | {readonly kind: 'newer'; readonly format: number};
+
+/** Signs texts of one stream. */
+export class RecordSeal {
+  constructor(
+    private readonly clusterKey: string,
+    private readonly stream: string,
+  ) {}
+
+  encode(value: unknown, format = supportedFormat): SealedRecord {
+    const body = JSON.stringify(value);
+    return {format, body, proof: this.sign(format, body)};
+  }
+
+  /** Checks the proof before the format, so that only a member of the fleet can make nodes wait. */
+  decode<A>(
+    codec: t.Type<A, unknown, unknown>,
+    value: unknown,
+    maxLength = maxBodyLength,
+  ): OpenedRecord<A> {
+    const sealed = decodeWith(sealedCodec, value);
+    if (E.isLeft(sealed)) return {kind: 'bad', reason: 'malformed'};
+    const {format, body, proof} = sealed.right;
+    if (body.length > maxLength) return {kind: 'bad', reason: 'too-large'};
+    if (!isSameSecret(proof, this.sign(format, body))) {
+      return {kind: 'bad', reason: 'forged'};
+    }
+    if (format > supportedFormat) return {kind: 'newer', format};
+    const parsed = E.tryCatch(() => JSON.parse(body) as unknown, E.toError);
+    if (E.isLeft(parsed)) return {kind: 'bad', reason: 'malformed'};
+    const decoded = decodeWith(codec, parsed.right);
+    return E.isRight(decoded)
+      ? {kind: 'good', record: decoded.right, length: body.length}
+      : {kind: 'bad', reason: 'unknown'};
+  }
+
+  private sign(format: number, body: string): string {
+    return signParts(this.clusterKey, [
+      'log-record',
+      this.stream,
+      String(format),
+      body,
+    ]);
+  }
+}
--- /dev/null
+++ b/src/config/route_rules.ts
@@ -0,0 +1,86 @@
+import {
+  asId,
+  ConflictError,
+  InvalidInputError,
+  RouteId,
+  ServiceId,
+} from '../base/index.js';
+import {ChangeOf} from './change_codec.js';
+import {ConfigDraft} from './draft.js';
+import {checkId} from './limits.js';
+
+const hostLabel = '[a-z0-9_]([a-z0-9_-]{0,61}[a-z0-9_])?';
+const hostPattern = new RegExp(`^${hostLabel}(\\.${hostLabel})*$`);
+// Characters that never need percent encoding within a path, so that a prefix has one spelling.
+const prefixPattern = /^(\/[A-Za-z0-9._~!$&'()*+,=:@-]+)+$/;
+const maxHostLength = 253;
+const maxPrefixLength = 1024;
+
+/** The one spelling of a host: without case and without a final dot. */
+export function parseHost(host: string): string {
+  const plain = host.toLowerCase().replace(/\.$/, '');
+  const isIpv6 = /^\[[0-9a-f:.]+\]$/.test(plain);
+  if (plain === '*' || isIpv6) return plain;
+  if (plain.length <= maxHostLength && hostPattern.test(plain)) return plain;
+  throw new InvalidInputError(
+    `host: ${JSON.stringify(host.slice(0, 80))} is no host name; give a name or IP number without port, or * for any host`,
+  );
+}
+
+/** The one spelling of a path prefix: without a final slash. */
+export function parsePrefix(prefix: string): string {
+  if (prefix === '/') return prefix;
+  const plain = prefix.replace(/\/$/, '');
+  const hasDots = /\/\.{1,2}(\/|$)/.test(plain);
+  if (
+    plain.length <= maxPrefixLength &&
+    prefixPattern.test(plain) &&
+    !hasDots
+  ) {
+    return plain;
+  }
+  throw new InvalidInputError(
+    `pathPrefix: ${JSON.stringify(prefix.slice(0, 80))} is no path prefix; begin with / and use no %, ?, #, ;, //, /./ or /../`,
+  );
+}
+
+/** Adds a route; two routes never share host and path prefix. */
+export function addRoute(
+  draft: ConfigDraft,
+  change: ChangeOf<'add-route'>,
+): void {
+  const id = asId<RouteId>(change.route);
+  checkId('route', id);
+  const service = draft.getService(asId<ServiceId>(change.service));
+  const host = parseHost(change.host);
+  const pathPrefix = parsePrefix(change.pathPrefix);
+  if (draft.get('routes', id)) {
+    throw new ConflictError(`route ${id} exists; remove it first`);
+  }
+  const other = draft.findRoute(host, pathPrefix);
+  if (other) {
+    throw new ConflictError(
+      `route ${other} has the host ${host} and the path prefix ${pathPrefix} too; remove it first or choose another prefix`,
+    );
+  }
+  draft.set('routes', id, {
+    id,
+    service: service.id,
+    host,
+    pathPrefix,
+    idempotent: change.idempotent ?? 'by-method',
+    requireKey: change.requireKey ?? false,
+  });
+}
+
+/** Removes a route. */
+export function removeRoute(
+  draft: ConfigDraft,
+  change: ChangeOf<'remove-route'>,
+): void {
+  const id = asId<RouteId>(change.route);
+  if (!draft.get('routes', id)) {
+    throw new ConflictError(`route ${id} does not exist; correct the name`);
+  }
+  draft.remove('routes', id);
+}
--- /dev/null
+++ b/src/config/snapshots.ts
@@ -0,0 +1,157 @@
+import {randomUUID} from 'node:crypto';
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {describeError, Logger, Millis} from '../base/index.js';
+import {LogClient} from '../logservice/index.js';
+import {ConfigState} from './fold.js';
+import {RecordSeal, supportedFormat} from './record.js';
+import {decodeState, encodeState} from './state_codec.js';
+
+/** Small records, one for each complete snapshot. */
+export const snapshotStream = 'config-snapshots';
+/** The data of snapshots, in parts. */
+export const partStream = 'config-snapshot-parts';
+// Base64 digits in one record, a size that log services commonly take.
+const partLength = 512 * 1024;
+const pageSize = 256;
+const maxParts = 256;
+
+const manifestCodec = t.type({
+  kind: t.literal('snapshot'),
+  snapshot: t.string,
+  next: t.Int,
+  version: t.Int,
+  proof: t.string,
+  /** Offsets of the parts in stream `config-snapshot-parts`. */
+  parts: t.array(t.Int),
+});
+
+/** Says that a snapshot is complete, and where its parts are. */
+export interface Manifest extends t.TypeOf<typeof manifestCodec> {
+  readonly offset: number;
+  readonly atMs: Millis;
+}
+
+const partCodec = t.type({
+  kind: t.literal('part'),
+  snapshot: t.string,
+  part: t.Int,
+  data: t.string,
+});
+
+/**
+ * Snapshots of the fold in the log. A writer appends the parts first and the manifest last, so a writer that stops
+ * half-way leaves nothing that a reader takes. Readers take the highest version, whoever wrote it and whenever.
+ */
+export class SnapshotStore {
+  private readonly manifestSeal: RecordSeal;
+  private readonly partSeal: RecordSeal;
+  private manifests: readonly Manifest[] = [];
+  private nextManifest = 0;
+
+  constructor(
+    private readonly log: LogClient,
+    private readonly clusterKey: string,
+    private readonly logger: Logger,
+  ) {
+    this.manifestSeal = new RecordSeal(clusterKey, snapshotStream);
+    this.partSeal = new RecordSeal(clusterKey, partStream);
+  }
+
+  /** Writes a snapshot and gives its size in bytes; throws LogUnavailableError. */
+  async write(state: ConfigState): Promise<number> {
+    const encoded = await encodeState(this.clusterKey, state);
+    const snapshot = randomUUID();
+    const text = encoded.bytes.toString('base64');
+    const parts: number[] = [];
+    for (let at = 0; at < text.length; at += partLength) {
+      const record = this.partSeal.encode({
+        kind: 'part',
+        snapshot,
+        part: parts.length,
+        data: text.slice(at, at + partLength),
+      });
+      parts.push(await this.log.append(partStream, [record]));
+    }
+    const {next, version, proof} = encoded;
+    await this.log.append(snapshotStream, [
+      this.manifestSeal.encode({
+        kind: 'snapshot',
+        snapshot,
+        next,
+        version,
+        proof,
+        parts,
+      }),
+    ]);
+    return encoded.bytes.length;
+  }
+
+  /** The manifest of the highest version; reads only what is new since the last call. Throws LogUnavailableError. */
+  async findNewest(): Promise<Manifest | undefined> {
+    for (;;) {
+      const page = await this.log.read(
+        snapshotStream,
+        this.nextManifest,
+        pageSize,
+      );
+      // A stream that is shorter than before was replaced; what was read of it no longer exists.
+      if (page.nextOffset < this.nextManifest) this.manifests = [];
+      const retained = this.manifests.filter(
+        manifest => manifest.offset >= page.firstOffset,
+      );
+      const added = page.records.flatMap(record => {
+        const opened = this.manifestSeal.decode(manifestCodec, record.value);
+        return opened.kind === 'good'
+          ? [{...opened.record, offset: record.offset, atMs: record.atMs}]
+          : [];
+      });
+      this.manifests = [...retained, ...added].sort(
+        (a, b) => b.next - a.next || b.offset - a.offset,
+      );
+      const last = page.records[page.records.length - 1];
+      this.nextManifest = last ? last.offset + 1 : page.nextOffset;
+      if (this.nextManifest >= page.nextOffset) return this.manifests[0];
+    }
+  }
+
+  /** The snapshot of the highest version that is whole; throws LogUnavailableError. */
+  async readNewest(): Promise<ConfigState | undefined> {
+    await this.findNewest();
+    for (const manifest of this.manifests) {
+      const state = await this.readSnapshot(manifest);
+      if (E.isRight(state)) return state.right;
+      this.logger.warn(
+        {snapshot: manifest.snapshot, error: describeError(state.left)},
+        'snapshot refused',
+      );
+    }
+    return undefined;
+  }
+
+  private async readSnapshot(
+    manifest: Manifest,
+  ): Promise<E.Either<Error, ConfigState>> {
+    const texts: string[] = [];
+    for (const [index, offset] of manifest.parts.slice(0, maxParts).entries()) {
+      const page = await this.log.read(partStream, offset, 1);
+      const record = page.records.find(item => item.offset === offset);
+      const opened = this.partSeal.decode(partCodec, record?.value);
+      if (
+        opened.kind !== 'good' ||
+        opened.record.snapshot !== manifest.snapshot ||
+        opened.record.part !== index
+      ) {
+        return E.left(new Error(`part ${index} is missing or damaged`));
+      }
+      texts.push(opened.record.data);
+    }
+    return decodeState(this.clusterKey, {
+      format: supportedFormat,
+      next: manifest.next,
+      version: manifest.version,
+      bytes: Buffer.from(texts.join(''), 'base64'),
+      proof: manifest.proof,
+    });
+  }
+}
--- /dev/null
+++ b/src/config/state_codec.ts
@@ -0,0 +1,128 @@
+import {promisify} from 'node:util';
+import {deflate, inflate} from 'node:zlib';
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import {
+  decodeWith,
+  describeError,
+  InvalidInputError,
+  isSameSecret,
+  signParts,
+} from '../base/index.js';
+import {makeTable} from './configuration.js';
+import {ConfigState} from './fold.js';
+import {supportedFormat} from './record.js';
+
+const deflateAsync = promisify(deflate);
+const inflateAsync = promisify(inflate);
+// The full configuration is about 5 MB of JSON; the bound stops a small input from filling the memory.
+const maxStateBytes = 64 * 1024 * 1024;
+
+/** A fold as deflated JSON, with the proof that a holder of the cluster key made it. */
+export interface EncodedState {
+  readonly format: number;
+  readonly next: number;
+  readonly version: number;
+  readonly bytes: Buffer;
+  readonly proof: string;
+}
+
+const table = t.UnknownRecord;
+const stateCodec = t.type({
+  next: t.Int,
+  config: t.type({
+    version: t.Int,
+    services: table,
+    pools: table,
+    routes: table,
+    partners: table,
+    accounts: table,
+    retired: table,
+  }),
+  plans: t.array(t.tuple([t.string, table])),
+  outcomes: t.array(t.tuple([t.string, table])),
+  recent: t.array(t.type({version: t.Int, objects: t.array(t.string)})),
+  horizon: t.Int,
+  badRecords: table,
+});
+
+function signState(
+  clusterKey: string,
+  state: Omit<EncodedState, 'proof'>,
+): string {
+  return signParts(clusterKey, [
+    'config-state',
+    String(state.format),
+    String(state.next),
+    String(state.version),
+    state.bytes.toString('base64'),
+  ]);
+}
+
+/** Encodes a fold for the log or a peer. */
+export async function encodeState(
+  clusterKey: string,
+  state: ConfigState,
+): Promise<EncodedState> {
+  const text = JSON.stringify({
+    ...state,
+    plans: [...state.plans],
+    outcomes: [...state.outcomes],
+  });
+  const encoded = {
+    format: supportedFormat,
+    next: state.next,
+    version: state.config.version,
+    bytes: await deflateAsync(text),
+  };
+  return {...encoded, proof: signState(clusterKey, encoded)};
+}
+
+function makeState(value: t.TypeOf<typeof stateCodec>): ConfigState {
+  const {config} = value;
+  return {
+    ...value,
+    config: {
+      version: config.version,
+      services: makeTable(config.services),
+      pools: makeTable(config.pools),
+      routes: makeTable(config.routes),
+      partners: makeTable(config.partners),
+      accounts: makeTable(config.accounts),
+      retired: makeTable(config.retired),
+    },
+    plans: new Map(value.plans),
+    outcomes: new Map(value.outcomes),
+  } as unknown as ConfigState;
+}
+
+/** Decodes a fold; Left for one that is truncated, forged, of a newer format or not what it says it is. */
+export async function decodeState(
+  clusterKey: string,
+  encoded: EncodedState,
+): Promise<E.Either<Error, ConfigState>> {
+  const refuse = (problem: string) =>
+    E.left(new InvalidInputError(`configuration state refused: ${problem}`));
+  if (!isSameSecret(encoded.proof, signState(clusterKey, encoded))) {
+    return refuse('its proof does not fit; it is damaged or forged');
+  }
+  if (encoded.format > supportedFormat) {
+    return refuse(
+      `format ${encoded.format} is newer than ${supportedFormat}; update this node's program`,
+    );
+  }
+  try {
+    const bytes = await inflateAsync(encoded.bytes, {
+      maxOutputLength: maxStateBytes,
+    });
+    const decoded = decodeWith(stateCodec, JSON.parse(bytes.toString()));
+    if (E.isLeft(decoded)) return refuse(decoded.left.message);
+    const {next, config} = decoded.right;
+    if (next !== encoded.next || config.version !== encoded.version) {
+      return refuse('it holds another version than it says');
+    }
+    return E.right(makeState(decoded.right));
+  } catch (error) {
+    return refuse(describeError(error));
+  }
+}
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -1,5 +1,6 @@
 import Fastify, {FastifyInstance} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
+import {Registry} from 'prom-client';
 import {buildAdminServer} from '../admin/index.js';
 import {
   asId,
@@ -9,11 +10,21 @@
   Logger,
   Millis,
   NodeId,
+  rankByRendezvous,
   RegionId,
   runEvery,
   ServiceId,
 } from '../base/index.js';
-import {ConfigFollower, Service} from '../config/index.js';
+import {
+  ConfigFollower,
+  ConfigOperator,
+  ConfigPeers,
+  registerConfigMetrics,
+  registerHandover,
+  Service,
+  SnapshotStore,
+  SnapshotWriter,
+} from '../config/index.js';
 import {Entry, RemoteGuards} from '../entry/index.js';
 import {buildDataPort, Guard} from '../guard/index.js';
 import {JudgedServer, judgeService} from '../health/index.js';
@@ -32,7 +43,9 @@
   private readonly stopping = new AbortController();
   private readonly roster = new Roster();
   private readonly log: LogClient;
+  private readonly registry = new Registry();
   private readonly follower: ConfigFollower;
+  private readonly snapshotWriter: SnapshotWriter;
   private readonly guard: Guard;
   private readonly remotes: RemoteGuards;
   private readonly calls: NodeCallHandlers;
@@ -57,7 +70,34 @@
       timeoutMs: settings.log.timeout,
       localAddress: address,
     });
-    this.follower = new ConfigFollower(this.log, clock, logger);
+    const {cluster_key: clusterKey} = settings.peers;
+    this.calls = new NodeCallHandlers(clusterKey);
+    this.callClient = new NodeCallClient(clusterKey, address);
+    const snapshots = new SnapshotStore(this.log, clusterKey, logger);
+    this.follower = new ConfigFollower({
+      log: this.log,
+      clusterKey,
+      snapshots,
+      peers: new ConfigPeers(
+        this.callClient,
+        clusterKey,
+        () => this.listPeers(),
+        Math.random,
+        logger,
+      ),
+      clock,
+      logger,
+    });
+    this.snapshotWriter = new SnapshotWriter({
+      store: snapshots,
+      follower: this.follower,
+      getRank: key => this.getRank(key),
+      everyMs: settings.log.snapshot_every,
+      clock,
+      logger,
+    });
+    registerHandover(this.calls, clusterKey, this.follower);
+    registerConfigMetrics(this.registry, this.follower);
     this.guard = new Guard(
       {
         getConfiguration: () => this.follower.getConfiguration(),
@@ -68,9 +108,7 @@
       logger,
       address,
     );
-    this.calls = new NodeCallHandlers(settings.peers.cluster_key);
-    this.callClient = new NodeCallClient(settings.peers.cluster_key, address);
-    this.remotes = new RemoteGuards(settings.peers.cluster_key, clock, address);
+    this.remotes = new RemoteGuards(clusterKey, clock, address);
     this.entry = new Entry(
       {
         node: this.record.node,
@@ -94,7 +132,7 @@
         listen: `${address}:${settings.ports.peers}`,
         localAddress: address,
         seeds: settings.peers.seeds,
-        clusterKey: settings.peers.cluster_key,
+        clusterKey,
         spreadMs,
       },
       this.roster,
@@ -102,31 +140,38 @@
       logger,
     );
     this.servers = [
-      buildDataPort(this.guard, settings.peers.cluster_key, clock, this.calls),
+      buildDataPort(this.guard, clusterKey, clock, this.calls),
       this.buildAnnouncePort(),
       buildAdminServer({
         token: settings.admin.operator_token,
         follower: this.follower,
         roster: this.roster,
         judge: service => this.judge(service),
-        clock,
+        operator: new ConfigOperator(
+          this.log,
+          this.follower,
+          clusterKey,
+          clock,
+        ),
+        registry: this.registry,
         logger,
       }),
       this.entry.app,
     ];
   }
 
-  /** Opens all ports; the port for callers opens last. */
+  /** Opens all ports; the port for callers opens last, once the configuration is loaded. */
   async start(): Promise<void> {
     const {signal} = this.stopping;
     const {ports, node} = this.settings;
-    void this.follower.run(signal);
     void this.links.run(signal);
     void runEvery(this.clock, recordPeriodMs, signal, () =>
       this.publishRecord(),
     );
     const order = [ports.data, ports.announce, ports.admin, ports.callers];
     for (const [index, server] of this.servers.entries()) {
+      if (server === this.entry.app) await this.loadConfiguration(signal);
+      if (signal.aborted) return;
       await server.listen({host: node.address, port: order[index]});
     }
     this.logger.info({node: this.record.node}, 'serving');
@@ -150,6 +195,24 @@
     this.logger.info('left');
   }
 
+  /** Loads the configuration, however long that takes, and then keeps it in step with the log. */
+  private async loadConfiguration(signal: AbortSignal): Promise<void> {
+    await this.follower.load(signal);
+    void this.follower.run(signal);
+    void this.snapshotWriter.run(signal);
+  }
+
+  private listPeers(): readonly NodeRecord[] {
+    return this.roster
+      .list()
+      .filter(record => record.node !== this.record.node);
+  }
+
+  private getRank(key: string): number {
+    const nodes = this.roster.list().map(record => record.node);
+    return rankByRendezvous(key, nodes).indexOf(this.record.node);
+  }
+
   private judge(service: Service): readonly JudgedServer[] {
     const now = this.clock.getTime();
     const {retired} = this.follower.getConfiguration();
