--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -4,7 +4,6 @@
   asId,
   Clock,
   ConflictError,
-  describeError,
   InvalidInputError,
   LogUnavailableError,
   Millis,
@@ -31,9 +30,15 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+// The error class takes over the properties of its cause.
 function isUnsent(error: unknown): boolean {
-  const {cause} = error as Error;
-  return unsentCodes.has(String((cause as NodeJS.ErrnoException)?.code));
+  return unsentCodes.has(String((error as NodeJS.ErrnoException).code));
+}
+
+// The error class puts the messages of causes on lines before its own.
+function describeProblem(error: unknown): string {
+  const lines = (error as Error).message.split('\n');
+  return lines[lines.length - 1];
 }
 
 /** Puts plans and confirmations on the log and answers after they were read back. */
@@ -159,7 +164,7 @@
         attempt = 2;
       } catch (error) {
         mayTakeEffect ||= !isUnsent(error);
-        problem = describeError(error);
+        problem = describeProblem(error);
       }
       const leftMs = end - this.clock.getTime();
       const waitMs = attempt === 1 ? Math.min(repeatMs, leftMs) : leftMs;
--- /dev/null
+++ b/test/config/fakes.ts
@@ -0,0 +1,180 @@
+import {
+  LogUnavailableError,
+  ManualClock,
+  openSilentLogger,
+} from '../../src/base/index.js';
+import {
+  Change,
+  ConfigFollower,
+  ConfigFollowerOptions,
+  ConfigRecord,
+  configRecordCodec,
+  ConfigState,
+  configStream,
+  foldRecord,
+  PeerAnswer,
+  RecordSeal,
+  SnapshotStore,
+} from '../../src/config/index.js';
+import {LogClient, LogPage} from '../../src/logservice/index.js';
+
+export const clusterKey = 'test-cluster-key-01';
+export const seal = new RecordSeal(clusterKey, configStream);
+
+interface FakeStream {
+  first: number;
+  values: unknown[];
+}
+
+/** A log in memory that can be down, lose replies and drop old records. */
+export class FakeLog implements LogClient {
+  down: 'no' | 'refusing' | 'silent' = 'no';
+  loseReplies = 0;
+  failAppendsAfter = Infinity;
+  atMs = 0;
+  private readonly streams = new Map<string, FakeStream>();
+  private waiting: (() => void)[] = [];
+
+  get(name: string): FakeStream {
+    const known = this.streams.get(name) ?? {first: 0, values: []};
+    this.streams.set(name, known);
+    return known;
+  }
+
+  async append(name: string, values: readonly unknown[]): Promise<number> {
+    this.checkUp();
+    if (this.failAppendsAfter <= 0) throw new LogUnavailableError('lost');
+    this.failAppendsAfter -= 1;
+    const stream = this.get(name);
+    const offset = stream.first + stream.values.length;
+    for (const value of values) {
+      stream.values.push(JSON.parse(JSON.stringify(value ?? null)));
+    }
+    for (const wake of this.waiting.splice(0)) wake();
+    if (this.loseReplies > 0) {
+      this.loseReplies -= 1;
+      throw new LogUnavailableError('reply lost');
+    }
+    return offset;
+  }
+
+  async read(
+    name: string,
+    from: number,
+    limit: number,
+    waitMs = 0,
+    signal?: AbortSignal,
+  ): Promise<LogPage> {
+    this.checkUp();
+    const stream = this.get(name);
+    if (waitMs > 0 && from >= stream.first + stream.values.length) {
+      await new Promise<void>(resolve => {
+        this.waiting.push(resolve);
+        signal?.addEventListener('abort', () => resolve(), {once: true});
+      });
+    }
+    const start = Math.max(from, stream.first);
+    return {
+      firstOffset: stream.first,
+      nextOffset: stream.first + stream.values.length,
+      records: stream.values
+        .slice(start - stream.first)
+        .slice(0, limit)
+        .map((value, i) => ({offset: start + i, atMs: this.atMs, value})),
+    };
+  }
+
+  /** Drops all records before an offset, as the retention of the log does. */
+  removeBefore(name: string, offset: number): void {
+    const stream = this.get(name);
+    stream.values.splice(0, offset - stream.first);
+    stream.first = offset;
+  }
+
+  async close(): Promise<void> {}
+
+  private checkUp(): void {
+    if (this.down === 'no') return;
+    const code = this.down === 'refusing' ? 'ECONNREFUSED' : 'ECONNRESET';
+    const cause = Object.assign(new Error('log down'), {code});
+    throw new LogUnavailableError('log down', {cause});
+  }
+}
+
+/** Peers of which each answers with a state or not at all. */
+export function makePeers(answers: readonly PeerAnswer[] = []) {
+  return {
+    fetch: async () => answers,
+    fetchFrom: async () => answers[0] ?? 'not-newer',
+  };
+}
+
+export function makeFollower(
+  log: FakeLog,
+  options: Partial<ConfigFollowerOptions> = {},
+): ConfigFollower {
+  const logger = openSilentLogger();
+  return new ConfigFollower({
+    log,
+    clusterKey,
+    snapshots: new SnapshotStore(log, clusterKey, logger),
+    peers: makePeers(),
+    clock: new ManualClock(1000),
+    logger,
+    ...options,
+  });
+}
+
+export function makePlan(
+  plan: string,
+  baseVersion: number,
+  ...changes: Change[]
+): ConfigRecord {
+  return {kind: 'plan', plan, baseVersion, changes};
+}
+
+export function makeConfirm(plan: string, confirmation: string): ConfigRecord {
+  return {kind: 'confirm', plan, confirmation};
+}
+
+/** Folds values as a follower does. */
+export function foldAll(
+  state: ConfigState,
+  values: readonly unknown[],
+): ConfigState {
+  return values.reduce<ConfigState>((before, value) => {
+    const opened = seal.decode(configRecordCodec, value);
+    if (opened.kind === 'newer') throw new Error('newer format');
+    return foldRecord(before, before.next, opened);
+  }, state);
+}
+
+export function foldRecords(
+  state: ConfigState,
+  ...records: ConfigRecord[]
+): ConfigState {
+  return foldAll(
+    state,
+    records.map(record => seal.encode(record)),
+  );
+}
+
+export const addDesk = {
+  kind: 'add-service',
+  service: 'desk',
+  floor: 2,
+} as const satisfies Change;
+export const addDeskPool: Change = {
+  kind: 'add-pool',
+  pool: 'desk-a',
+  service: 'desk',
+  expected: 3,
+};
+
+export function setWeight(partner: string, weight: number): Change {
+  return {kind: 'set-partner', partner, weight};
+}
+
+export function makeRetire(server: string): Change {
+  return {kind: 'retire-server', server, service: 'desk'};
+}
--- /dev/null
+++ b/test/config/fold.test.ts
@@ -0,0 +1,177 @@
+import test from 'ava';
+import fc from 'fast-check';
+import * as E from 'fp-ts/lib/Either.js';
+import {asId, PlanId} from '../../src/base/index.js';
+import {
+  configRecordCodec,
+  ConfigState,
+  decodeState,
+  emptyConfigState,
+  encodeState,
+  findOutcome,
+} from '../../src/config/index.js';
+import {
+  addDesk,
+  addDeskPool,
+  clusterKey,
+  foldAll,
+  foldRecords,
+  makeConfirm,
+  makePlan,
+  makeRetire,
+  seal,
+  setWeight,
+} from './fakes.js';
+
+const started = foldRecords(
+  emptyConfigState,
+  makePlan('plan-start', -1, addDesk, addDeskPool, setWeight('a', 1)),
+  makeConfirm('plan-start', 'conf-start'),
+);
+
+const value = fc.oneof(
+  fc
+    .record({
+      plan: fc.integer({min: 0, max: 5}),
+      base: fc.integer({min: -1, max: 12}),
+      change: fc.oneof(
+        fc.integer({min: 0, max: 3}).map(i => setWeight(`p${i}`, 1 + i)),
+        fc.integer({min: 0, max: 2}).map(i => makeRetire(`d${i}`)),
+        fc.constantFrom(addDesk, addDeskPool),
+      ),
+    })
+    .map(({plan, base, change}) =>
+      seal.encode(makePlan(`plan-000${plan}`, base, change)),
+    ),
+  fc
+    .record({
+      plan: fc.integer({min: 0, max: 5}),
+      id: fc.integer({max: 9, min: 0}),
+    })
+    .map(({plan, id}) =>
+      seal.encode(makeConfirm(`plan-000${plan}`, `conf-000${id}`)),
+    ),
+  fc.constantFrom<unknown>(null, 'x', {format: 1, body: '{}', proof: 'forged'}),
+  fc.constant(seal.encode({kind: 'launch'})),
+);
+
+async function decodeCopy(state: ConfigState): Promise<ConfigState> {
+  const encoded = await encodeState(clusterKey, state);
+  const decoded = await decodeState(clusterKey, encoded);
+  if (E.isLeft(decoded)) throw decoded.left;
+  return decoded.right;
+}
+
+// Guards against state that a snapshot leaves out: a node that starts from one would fold later records otherwise.
+test('log and snapshot lead to the same fold from every prefix', async t => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(value, {maxLength: 25}),
+      fc.nat(25),
+      async (values, cut) => {
+        const whole = foldAll(emptyConfigState, values);
+        const part = foldAll(emptyConfigState, values.slice(0, cut));
+        const resumed = foldAll(await decodeCopy(part), values.slice(cut));
+        t.deepEqual(resumed, whole);
+        t.true(whole.config.version >= part.config.version);
+      },
+    ),
+    {seed: 20261204, numRuns: 200},
+  );
+});
+
+// Guards against both plans of an operator race acting, and against refusing plans that do not meet: the baseline
+// refused every plan made on an older version.
+test('the first of two conflicting plans wins, a third on other objects acts', t => {
+  const {version} = started.config;
+  const state = foldRecords(
+    started,
+    makePlan('plan-one', version, makeRetire('d1')),
+    makePlan('plan-two', version, {
+      kind: 'set-floor',
+      service: 'desk',
+      floor: 1,
+    }),
+    makePlan('plan-three', version, setWeight('a', 5)),
+    makeConfirm('plan-one', 'conf-one'),
+    makeConfirm('plan-two', 'conf-two'),
+    makeConfirm('plan-three', 'conf-three'),
+  );
+  t.is(state.outcomes.get('conf-one')?.kind, 'in-force');
+  const second = state.outcomes.get('conf-two');
+  t.true(
+    second?.kind === 'refused' &&
+      /capacity:desk .* plan anew/.test(second.reason),
+  );
+  t.is(state.outcomes.get('conf-three')?.kind, 'in-force');
+});
+
+// Guards against a repeated confirmation that adds capacity twice.
+test('a plan acts once, however often it is confirmed or recorded', t => {
+  const {version} = started.config;
+  const plan = makePlan('plan-grow', version, {
+    kind: 'add-capacity',
+    pool: 'desk-a',
+    count: 1,
+  });
+  const state = foldRecords(
+    started,
+    plan,
+    makeConfirm('plan-grow', 'conf-one'),
+    makeConfirm('plan-grow', 'conf-one'),
+    plan,
+    makeConfirm('plan-grow', 'conf-two'),
+  );
+  t.is(Object.values(state.config.pools)[0].expected, 4);
+  t.deepEqual(state.outcomes.get('conf-two'), state.outcomes.get('conf-one'));
+});
+
+// Guards against memory that grows with the number of records, and against records replayed after their outcomes
+// expired: the baseline kept all plans and outcomes for ever.
+test('the fold stays bounded and refuses replayed records', t => {
+  let state = started;
+  for (let i = 0; i < 600; i += 1) {
+    state = foldRecords(
+      state,
+      makePlan(`plan-${i}-left`, state.config.version, setWeight('b', 1)),
+      makePlan(
+        `plan-${i}-used`,
+        state.config.version,
+        setWeight('c', 1 + (i % 2)),
+      ),
+      makeConfirm(`plan-${i}-used`, `conf-${i}-used`),
+    );
+  }
+  t.true(state.plans.size <= 256);
+  t.is(state.outcomes.size, 512);
+  t.true(state.recent.length <= 512);
+  const before = state.config;
+  const replayed = foldRecords(
+    state,
+    makePlan('plan-start', -1, setWeight('z', 9)),
+    makeConfirm('plan-start', 'conf-start'),
+  );
+  t.is(replayed.config, before);
+  t.is(findOutcome(replayed, asId<PlanId>('plan-start'))?.kind, 'refused');
+});
+
+// Guards against records that anyone who reaches the log could write; the baseline took every well-formed value.
+test('a record needs the proof of the cluster key, of its stream and of its format', t => {
+  const good = seal.encode(makeConfirm('plan-one', 'conf-one'));
+  const decode = (record: unknown) => seal.decode(configRecordCodec, record);
+  t.is(decode(good).kind, 'good');
+  t.like(decode({...good, body: `${good.body} `}), {reason: 'forged'});
+  t.like(decode({...good, format: 9}), {reason: 'forged'});
+  t.like(decode({...good, body: 'x'.repeat(2_000_000)}), {reason: 'too-large'});
+  t.like(decode(seal.encode({kind: 'launch'})), {reason: 'unknown'});
+  t.is(decode(seal.encode({kind: 'launch'}, 2)).kind, 'newer');
+});
+
+// Guards against a damaged or forged snapshot, or a compressed one that would fill the memory, being taken.
+test('a damaged or forged state is refused', async t => {
+  const encoded = await encodeState(clusterKey, started);
+  const cut = {...encoded, bytes: encoded.bytes.subarray(0, 50)};
+  t.true(E.isLeft(await decodeState(clusterKey, cut)));
+  t.true(E.isLeft(await decodeState('another-key', encoded)));
+  t.true(E.isLeft(await decodeState(clusterKey, {...encoded, next: 99})));
+});
--- /dev/null
+++ b/test/config/snapshot_writer.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import {ManualClock, openSilentLogger} from '../../src/base/index.js';
+import {SnapshotStore, SnapshotWriter} from '../../src/config/index.js';
+import {
+  addDesk,
+  clusterKey,
+  FakeLog,
+  makeConfirm,
+  makeFollower,
+  makePlan,
+  seal,
+} from './fakes.js';
+
+const everyMs = 60_000;
+
+async function openWriters(log: FakeLog, clock: ManualClock, count: number) {
+  return Promise.all(
+    Array.from({length: count}, async (_, rank) => {
+      const follower = makeFollower(log, {clock});
+      await follower.loadOnce();
+      const logger = openSilentLogger();
+      const store = new SnapshotStore(log, clusterKey, logger);
+      return new SnapshotWriter({
+        store,
+        follower,
+        getRank: () => rank,
+        everyMs,
+        clock,
+        logger,
+      });
+    }),
+  );
+}
+
+async function openLog(): Promise<FakeLog> {
+  const log = new FakeLog();
+  await log.append('config', [
+    seal.encode(makePlan('plan-start', -1, addDesk)),
+    seal.encode(makeConfirm('plan-start', 'conf-start')),
+  ]);
+  return log;
+}
+
+async function runFor(
+  writers: readonly SnapshotWriter[],
+  log: FakeLog,
+  clock: ManualClock,
+  seconds: number,
+): Promise<number> {
+  let written = 0;
+  for (let i = 0; i < seconds; i += 1) {
+    await clock.advance(1000);
+    log.atMs = clock.getTime();
+    for (const writer of writers) {
+      if (await writer.check().catch(() => false)) written += 1;
+    }
+  }
+  return written;
+}
+
+// Guards against a configuration that ages out of the log while nothing changes (writing only after changes), and
+// against every node writing at each turn (no delay by rank).
+test('one of several writers renews the snapshot, also when nothing changes', async t => {
+  const log = await openLog();
+  const clock = new ManualClock();
+  const writers = await openWriters(log, clock, 5);
+  t.is(await runFor(writers, log, clock, 30), 1);
+  t.is(await runFor(writers, log, clock, 180), 3);
+  log.removeBefore('config', 2);
+  const joining = makeFollower(log);
+  t.is(await joining.loadOnce(), undefined);
+  t.is(joining.getConfiguration().version, 1);
+});
+
+// Guards against a snapshot that is missing because the first in rank is gone or the log lost it.
+test('the next rank writes when the first does not', async t => {
+  const log = await openLog();
+  const clock = new ManualClock();
+  const [, ...others] = await openWriters(log, clock, 3);
+  t.is(await runFor(others, log, clock, 30), 1);
+  log.removeBefore('config-snapshots', 1);
+  t.is(await runFor(others, log, clock, 100), 1);
+});
