Complete the administration API and the command line

Option texts are read by parseArgs, because cac reads the id 1e3 as 1000.

base/decode.ts leaves the numbers of union and intersection members out of paths and bounds the shown value.

--- a/src/base/decode.ts
+++ b/src/base/decode.ts
@@ -4,9 +4,15 @@
 
 const maxShownLength = 100;
 
+interface TaggedType {
+  readonly _tag?: string;
+  readonly type?: TaggedType;
+}
+
 // Unions and intersections number their members in the context; those numbers are no part of the value's path.
 function isMemberNumber(context: t.Context, index: number): boolean {
-  const parent = context[index - 1]?.type as {_tag?: string} | undefined;
+  let parent = context[index - 1]?.type as TaggedType | undefined;
+  while (parent?._tag === 'ExactType') parent = parent.type;
   return parent?._tag === 'IntersectionType' || parent?._tag === 'UnionType';
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,66 +1,222 @@
+import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {cac} from 'cac';
-import {request} from 'undici';
-import {describeError} from '../base/index.js';
-
-interface Flags {
-  readonly node?: string;
-  readonly token?: string;
-  readonly json?: boolean;
-}
+import {AdminClient} from './client.js';
+import {CliError, exitCodes, makeUsageError} from './exit.js';
+import {CommonValues, intents, makeChange, parseOptions} from './intents.js';
+import {
+  renderConfig,
+  renderNodes,
+  renderPlan,
+  renderPlans,
+  renderServices,
+  renderStatus,
+  renderTable,
+} from './render.js';
 
+const args = process.argv.slice(2);
 const cli = cac('fescuewheel');
-cli.option('--node <url>', 'Administration address, http://IP:port');
+cli.option(
+  '--node <address>',
+  'Administration address IP:port; repeat it for nodes to try in turn; default: FESCUEWHEEL_NODES, separated by commas',
+);
 cli.option('--token <token>', 'Operator token; default: FESCUEWHEEL_TOKEN');
 cli.option('--json', 'Print JSON');
 
+function openClient(values: CommonValues): AdminClient {
+  const {FESCUEWHEEL_NODES = '', FESCUEWHEEL_TOKEN = ''} = process.env;
+  const nodes = FESCUEWHEEL_NODES.split(',').map(node => node.trim());
+  return new AdminClient({
+    nodes: values.node ?? nodes.filter(node => node !== ''),
+    token: values.token ?? FESCUEWHEEL_TOKEN,
+  });
+}
+
+function printAnswer<A>(
+  values: CommonValues,
+  answer: unknown,
+  render: (answer: A) => string,
+): void {
+  console.log(values.json ? JSON.stringify(answer) : render(answer as A));
+}
+
+function readChanges(file: string | undefined): unknown {
+  if (file === undefined) {
+    throw makeUsageError(
+      'give one file, such as: fescuewheel plan file changes.json',
+    );
+  }
+  try {
+    const value: unknown = JSON.parse(
+      readFileSync(file === '-' ? 0 : file, 'utf8'),
+    );
+    return Array.isArray(value)
+      ? value
+      : (value as {changes?: unknown}).changes;
+  } catch (error) {
+    throw makeUsageError(
+      `${file}: ${(error as Error).message}; give a readable JSON file with a list of changes`,
+    );
+  }
+}
+
+async function runPlan(intent: string): Promise<void> {
+  const {changes, values} =
+    intent === 'file' ? makeFilePlan() : makeIntentPlan(intent);
+  // One id for all tries: a node that lost the reply of the log, or another node, records the plan once.
+  const body = {planId: randomUUID(), changes};
+  const answer = await openClient(values).call('POST', '/v1/plans', body);
+  printAnswer(values, answer, renderPlan);
+}
+
+function makeFilePlan() {
+  const {values, rest} = parseOptions(args, {});
+  return {changes: readChanges(rest[1]), values};
+}
+
+function makeIntentPlan(intent: string) {
+  const {change, values} = makeChange(intent, args);
+  return {changes: [change], values};
+}
+
+async function runConfirm(plan: string): Promise<void> {
+  const {values} = parseOptions(args, {'confirmation-id': false});
+  const given = values['confirmation-id'];
+  const confirmationId = given === undefined ? randomUUID() : String(given);
+  const client = openClient(values);
+  console.error(
+    `confirmation ${confirmationId}; if no answer comes, repeat with --confirmation-id ${confirmationId}`,
+  );
+  const path = `/v1/plans/${encodeURIComponent(plan)}/confirm`;
+  const answer = await client.call('POST', path, {confirmationId});
+  printAnswer(
+    values,
+    {...(answer as object), confirmationId},
+    (outcome: {plan: string; version: number}) =>
+      `confirmed: plan ${outcome.plan} is in force as version ${outcome.version}`,
+  );
+}
+
+async function runRead<A>(
+  path: string,
+  id: string | undefined,
+  render: (answer: A) => string,
+  renderOne: (answer: never) => string = answer =>
+    JSON.stringify(answer, null, 2),
+): Promise<void> {
+  const {values} = parseOptions(args, {});
+  const full = id === undefined ? path : `${path}/${encodeURIComponent(id)}`;
+  const answer = await openClient(values).call('GET', full);
+  if (id === undefined) printAnswer(values, answer, render);
+  else printAnswer(values, answer, renderOne as (answer: unknown) => string);
+}
+
+async function runAccounts(id: string | undefined): Promise<void> {
+  const {values} = parseOptions(args, {
+    after: false,
+    partner: false,
+    limit: false,
+  });
+  const query = new URLSearchParams();
+  for (const name of ['after', 'partner', 'limit']) {
+    if (values[name] !== undefined) query.set(name, String(values[name]));
+  }
+  const path = id === undefined ? `?${query}` : `/${encodeURIComponent(id)}`;
+  const answer = await openClient(values).call('GET', `/v1/accounts${path}`);
+  printAnswer(
+    values,
+    id === undefined ? answer : {accounts: [answer], next: null},
+    (page: {accounts: Record<string, string>[]; next: string | null}) =>
+      renderTable(page.accounts, 'no accounts') +
+      (page.next === null ? '' : `\nmore with --after ${page.next}`),
+  );
+}
+
+const plan = cli
+  .command(
+    'plan <intent> [...args]',
+    'Plan one change, or the changes of a JSON file; nothing is done until it is confirmed',
+  )
+  .allowUnknownOptions()
+  .example('  fescuewheel plan file changes.json')
+  .action(runPlan);
+for (const intent of Object.values(intents)) {
+  plan.example(`  fescuewheel plan ${intent.example}`);
+}
 cli
   .command(
-    'plan <file>',
-    'Plan the changes of a JSON file; - reads them from standard input',
+    'confirm <plan>',
+    'Confirm a plan and wait until it is in force at the node asked',
   )
-  .action(async (file: string, flags: Flags) => {
-    const changes = JSON.parse(readFileSync(file === '-' ? 0 : file, 'utf8'));
-    await callNode(flags, 'POST', '/v1/plans', {changes});
-  });
+  .option(
+    '--confirmation-id <id>',
+    'Id of an earlier try, to learn its outcome',
+  )
+  .example('  fescuewheel confirm 2f1c7a52-6f0e-4a39-9c55-0a4d7d3f6b11')
+  .allowUnknownOptions()
+  .action(runConfirm);
 cli
-  .command('confirm <plan>', 'Confirm a plan')
-  .action((plan: string, flags: Flags) =>
-    callNode(flags, 'POST', `/v1/plans/${plan}/confirm`, {}),
-  );
+  .command(
+    'plans [plan]',
+    'Show plans that wait and the newest outcomes, or one plan',
+  )
+  .example('  fescuewheel plans --json')
+  .allowUnknownOptions()
+  .action((id?: string) => runRead('/v1/plans', id, renderPlans, renderPlan));
+cli
+  .command(
+    'status',
+    'Show the version in force, nodes, services, and who is excluded and why',
+  )
+  .example('  fescuewheel status --node 10.0.0.1:7403 --node 10.0.1.1:7403')
+  .allowUnknownOptions()
+  .action(() => runRead('/v1/status', undefined, renderStatus));
+cli
+  .command('config', 'Show the configuration in force')
+  .example('  fescuewheel config --json')
+  .allowUnknownOptions()
+  .action(() => runRead('/v1/config', undefined, renderConfig));
+cli
+  .command('nodes', 'Show the nodes and the version in force at each')
+  .example('  fescuewheel nodes')
+  .allowUnknownOptions()
+  .action(() => runRead('/v1/nodes', undefined, renderNodes));
 cli
-  .command('status', 'Show services, backend servers and the version in force')
-  .action((flags: Flags) => callNode(flags, 'GET', '/v1/status'));
+  .command('services [service]', 'Show services, or one service in full')
+  .example('  fescuewheel services lookup-desk')
+  .allowUnknownOptions()
+  .action((id?: string) => runRead('/v1/services', id, renderServices));
+cli
+  .command('accounts [account]', 'Show accounts and their limits')
+  .option('--after <account>', 'Begin after this account')
+  .option('--partner <partner>', 'Only accounts of this partner')
+  .option('--limit <n>', 'Number of accounts, up to 1000')
+  .example('  fescuewheel accounts --partner holbrook')
+  .allowUnknownOptions()
+  .action(runAccounts);
 cli.help();
 
-async function callNode(
-  flags: Flags,
-  method: 'GET' | 'POST',
-  path: string,
-  body?: unknown,
-): Promise<void> {
-  const token = flags.token ?? process.env.FESCUEWHEEL_TOKEN ?? '';
-  const answer = await request(`${flags.node}${path}`, {
-    method,
-    headers: {
-      authorization: `Bearer ${token}`,
-      ...(body !== undefined && {'content-type': 'application/json'}),
-    },
-    body: body === undefined ? undefined : JSON.stringify(body),
-  });
-  const value = (await answer.body.json()) as {error?: {message: string}};
-  if (value.error) {
-    console.error(value.error.message);
-    process.exitCode = 1;
-    return;
+async function main(): Promise<void> {
+  cli.parse(process.argv, {run: false});
+  if (cli.matchedCommand) {
+    await cli.runMatchedCommand();
+  } else if (!cli.options.help) {
+    const problem =
+      args[0] === undefined ? 'no command given' : `unknown command ${args[0]}`;
+    throw makeUsageError(`${problem}; see fescuewheel --help`);
   }
-  console.log(JSON.stringify(value, null, flags.json ? 0 : 2));
 }
 
 try {
-  cli.parse(process.argv, {run: false});
-  await cli.runMatchedCommand();
+  await main();
 } catch (error) {
-  console.error(`fescuewheel: ${describeError(error)}`);
-  process.exitCode = 1;
+  const {name, message} = error as Error;
+  console.error(`fescuewheel: ${message}`);
+  const isUsage = name === 'CACError';
+  process.exitCode =
+    error instanceof CliError
+      ? error.code
+      : isUsage
+        ? exitCodes.usage
+        : exitCodes.failed;
 }
