Check readiness after reading on, wait briefly for peers, back off from a log that is down

A plan made through one node and confirmed through another skipped the check of ready servers when the second node had not read the plan yet; the check now runs after reading on. A starting node asked no peer because it knew none yet; it waits up to 1 s for the first. All nodes asked a log that came back every 500 ms at the same moments; they now wait 0.5 to 1.5 s and log every 60th failure.

--- a/src/admin/plans.ts
+++ b/src/admin/plans.ts
@@ -3,6 +3,7 @@
 import {asId, ConflictError, NotFoundError, PlanId} from '../base/index.js';
 import {
   applyChanges,
+  Change,
   checkReady,
   ConfigOperator,
   describePlan,
@@ -53,9 +54,9 @@
   );
 }
 
-function checkReadyNow(options: PlanOptions, plan: PendingPlan): void {
+function checkReadyNow(options: PlanOptions, changes: readonly Change[]): void {
   const config = options.follower.getConfiguration();
-  checkReady(config, plan.changes, id => {
+  checkReady(config, changes, id => {
     const service = config.services[id];
     return service ? listAnnounced(options, service) : [];
   });
@@ -67,15 +68,13 @@
   options: PlanOptions,
 ): void {
   const {follower, operator} = options;
+  const checkNow = (changes: readonly Change[]) =>
+    checkReadyNow(options, changes);
 
   app.post('/v1/plans', async request => {
     const {changes, planId} = parsePlanBody(request.body);
-    const config = follower.getConfiguration();
-    checkReady(config, changes, id => {
-      const service = config.services[id];
-      return service ? listAnnounced(options, service) : [];
-    });
-    return makePlanView(options, await operator.plan(changes, planId));
+    const plan = await operator.plan(changes, planId, checkNow);
+    return makePlanView(options, plan);
   });
 
   app.get('/v1/plans', async () => {
@@ -103,11 +102,7 @@
     async request => {
       const {confirmationId} = parseConfirmBody(request.body);
       const id = asId<PlanId>(request.params.plan);
-      const known =
-        confirmationId && follower.getState().outcomes.has(confirmationId);
-      const pending = follower.getState().plans.get(id);
-      if (pending && !known) checkReadyNow(options, pending);
-      const outcome = await operator.confirm(id, confirmationId);
+      const outcome = await operator.confirm(id, confirmationId, checkNow);
       if (outcome.kind === 'refused') throw new ConflictError(outcome.reason);
       return outcome;
     },
--- a/src/config/fold.ts
+++ b/src/config/fold.ts
@@ -6,7 +6,7 @@
 
 // Bounds of what a fold remembers besides the configuration. Every node applies them at the same records.
 const maxPlans = 256;
-const maxPlansLength = 4 * 1024 * 1024;
+const maxPlansLength = 2 * 1024 * 1024;
 const maxOutcomes = 512;
 const maxRecent = 512;
 const maxRecentObjects = 20_000;
@@ -38,7 +38,7 @@
   /** Offset of the next record to fold. */
   readonly next: number;
   readonly config: Configuration;
-  /** Plans that wait for confirmation, oldest first: at most 256 and 4 MiB of text; the oldest make room. */
+  /** Plans that wait for confirmation, oldest first: at most 256 and 2 MiB of text; the oldest make room. */
   readonly plans: ReadonlyMap<PlanId, PendingPlan>;
   /** Outcomes by confirmation id: the newest 512, oldest first. */
   readonly outcomes: ReadonlyMap<string, ConfirmOutcome>;
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -1,4 +1,4 @@
-import {Clock, describeError, Logger, Millis} from '../base/index.js';
+import {Clock, describeError, Logger, Millis, Random} from '../base/index.js';
 import {LogClient, LogPage} from '../logservice/index.js';
 import {Configuration} from './configuration.js';
 import {ConfigState, emptyConfigState, foldRecord} from './fold.js';
@@ -11,7 +11,9 @@
 // Records are at most 1 MiB; a page stays within a few tens of megabytes even if all are that long.
 const pageSize = 64;
 const longPollMs: Millis = 10_000;
-const retryMs: Millis = 500;
+// The log comes back to hundreds of nodes at once: each waits between half and one and a half of this.
+const retryMs: Millis = 1000;
+const logEveryFailures = 60;
 const holdRetryMs: Millis = 2000;
 /** Time that the log gets to bring a version that a peer has already. */
 const peerHintDelayMs: Millis = 1000;
@@ -53,6 +55,7 @@
   readonly snapshots: SnapshotStore;
   readonly peers: Pick<ConfigPeers, 'fetch' | 'fetchFrom'>;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
 }
 
@@ -106,7 +109,7 @@
 
   /** Loads from the log and from peers until one of them answered or the signal aborts. */
   async load(signal: AbortSignal): Promise<void> {
-    const {clock, logger} = this.options;
+    const {clock, logger, random} = this.options;
     while (!signal.aborted && !this.loaded) {
       const reason = await this.loadOnce();
       if (reason === undefined) break;
@@ -114,7 +117,7 @@
         {reason},
         'not serving callers: no configuration from the log or a peer; trying again',
       );
-      await clock.sleep(retryMs, signal);
+      await clock.sleep(retryMs * (0.5 + random()), signal);
     }
   }
 
@@ -135,17 +138,22 @@
 
   /** Follows the log until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, logger} = this.options;
+    const {clock, logger, random} = this.options;
+    let failures = 0;
     while (!signal.aborted) {
       try {
         await this.readOnce(longPollMs, signal);
+        failures = 0;
         if (!this.hold) continue;
         await this.fetchMissing();
         await clock.sleep(holdRetryMs, signal);
       } catch (error) {
         if (signal.aborted) return;
-        logger.warn({error: describeError(error)}, 'config log not read');
-        await clock.sleep(retryMs, signal);
+        if (failures % logEveryFailures === 0) {
+          logger.warn({error: describeError(error)}, 'config log not read');
+        }
+        failures += 1;
+        await clock.sleep(retryMs * (0.5 + random()), signal);
       }
     }
   }
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -22,6 +22,9 @@
 /** Wait for the read-back before an append that may be lost is made again. */
 const repeatMs: Millis = 1500;
 
+/** Throws if changes do not fit what only this node knows, such as the servers that are ready. */
+type CheckChanges = (changes: readonly Change[]) => void;
+
 /** Errors of a connection that was never made: nothing was sent. */
 const unsentCodes: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -54,10 +57,15 @@
     this.seal = new RecordSeal(clusterKey, configStream);
   }
 
-  /** Checks changes against what is in force and records them as a plan. The same id again gives the same plan. */
+  /**
+   * Checks changes against what is in force, and by `check`, and records them as a plan. The same id again gives the
+   * same plan. Throws ConflictError, InvalidInputError, UnavailableError, or LogUnavailableError with the property
+   * `mayTakeEffect`.
+   */
   async plan(
     changes: readonly Change[],
     planId: string = randomUUID(),
+    check: CheckChanges = () => undefined,
   ): Promise<PendingPlan> {
     const id = asId<PlanId>(planId);
     await this.readOn();
@@ -72,6 +80,7 @@
     const {config} = this.follower.getState();
     const checked = applyChanges(config, changes, config.version);
     if (E.isLeft(checked)) throw checked.left;
+    check(changes);
     const record: ConfigRecord = {
       kind: 'plan',
       plan: id,
@@ -81,10 +90,14 @@
     return this.append(record, `plan ${id}`, state => state.plans.get(id));
   }
 
-  /** Confirms a plan and gives the outcome once it was read back. The same confirmation id again acts once. */
+  /**
+   * Confirms a plan, if `check` takes it, and gives the outcome once it was read back. The same confirmation id again
+   * acts once. Throws as `plan` does, and NotFoundError.
+   */
   async confirm(
     planId: string,
     confirmationId: string = randomUUID(),
+    check: CheckChanges = () => undefined,
   ): Promise<ConfirmOutcome> {
     const plan = asId<PlanId>(planId);
     await this.readOn();
@@ -97,6 +110,8 @@
         `plan ${plan} is not known; it may have made room for newer ones: plan anew`,
       );
     }
+    const pending = state.plans.get(plan);
+    if (pending) check(pending.changes);
     const outcome = await this.append(
       {kind: 'confirm', plan: planId, confirmation: confirmationId},
       `confirmation ${confirmationId}`,
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -35,6 +35,7 @@
 
 const recordPeriodMs: Millis = 500;
 const spreadMs: Millis = 500;
+const firstPeerMs: Millis = 1000;
 /** Time for which a node that refused a connection gets no work from this entry. */
 const unreachableMs: Millis = 2000;
 
@@ -86,8 +87,13 @@
         logger,
       ),
       clock,
+      random: Math.random,
       logger,
     });
+    this.roster.onMerge(record => {
+      if (record.node === this.record.node) return;
+      this.follower.onPeerVersion(record, record.configVersion);
+    });
     this.snapshotWriter = new SnapshotWriter({
       store: snapshots,
       follower: this.follower,
@@ -197,11 +203,23 @@
 
   /** Loads the configuration, however long that takes, and then keeps it in step with the log. */
   private async loadConfiguration(signal: AbortSignal): Promise<void> {
+    await this.waitForPeers(signal);
     await this.follower.load(signal);
     void this.follower.run(signal);
     void this.snapshotWriter.run(signal);
   }
 
+  /** Waits a little for a first peer, which may know a newer version than the log gives. */
+  private async waitForPeers(signal: AbortSignal): Promise<void> {
+    const {seeds} = this.settings.peers;
+    if (seeds.every(seed => seed === this.record.peerAddress)) return;
+    const end = this.clock.getTime() + firstPeerMs;
+    while (!signal.aborted && this.clock.getTime() < end) {
+      if (this.listPeers().length > 0) return;
+      await this.clock.sleep(firstPeerMs / 20, signal);
+    }
+  }
+
   private listPeers(): readonly NodeRecord[] {
     return this.roster
       .list()
--- a/test/config/fakes.ts
+++ b/test/config/fakes.ts
@@ -120,6 +120,7 @@
     snapshots: new SnapshotStore(log, clusterKey, logger),
     peers: makePeers(),
     clock: new ManualClock(1000),
+    random: () => 0.5,
     logger,
     ...options,
   });
