--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -6,8 +6,6 @@
 import {configRecordCodec, RecordSeal, supportedFormat} from './record.js';
 import {SnapshotStore} from './snapshots.js';
 
-/** The log stream of plans and confirmations. */
-export const configStream = 'config';
 // Records are at most 1 MiB; a page stays within a few tens of megabytes even if all are that long.
 const pageSize = 64;
 const longPollMs: Millis = 10_000;
@@ -44,13 +42,15 @@
     case 'gap':
       return `the log retains records from ${hold.firstOffset} on, ${hold.next} is needed; a snapshot or a peer must bring the rest`;
     case 'log-behind':
-      return `the log ends at ${hold.nextOffset}, ${hold.next} records are known; the stream ${configStream} was reset or its replica lags`;
+      return `the log ends at ${hold.nextOffset}, ${hold.next} records are known; the stream was reset or its replica lags`;
   }
 }
 
 /** What the follower needs from the rest of the node. */
 export interface ConfigFollowerOptions {
   readonly log: LogClient;
+  /** The log stream of plans and confirmations. */
+  readonly stream: string;
   readonly clusterKey: string;
   readonly snapshots: SnapshotStore;
   readonly peers: Pick<ConfigPeers, 'fetch' | 'fetchFrom'>;
@@ -71,7 +71,7 @@
   private readonly waiting = new Set<() => void>();
 
   constructor(private readonly options: ConfigFollowerOptions) {
-    this.seal = new RecordSeal(options.clusterKey, configStream);
+    this.seal = new RecordSeal(options.clusterKey, options.stream);
   }
 
   /** The configuration in force at this node. */
@@ -161,7 +161,7 @@
   /** Reads and folds one page; throws LogUnavailableError. */
   async readOnce(waitMs: Millis, signal?: AbortSignal): Promise<LogPage> {
     const page = await this.options.log.read(
-      configStream,
+      this.options.stream,
       this.state.next,
       pageSize,
       waitMs,
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -15,7 +15,7 @@
 import {applyChanges} from './change.js';
 import {Change} from './change_codec.js';
 import {ConfigState, ConfirmOutcome, findOutcome, PendingPlan} from './fold.js';
-import {configStream, ConfigFollower, describeHold} from './follower.js';
+import {ConfigFollower, describeHold} from './follower.js';
 import {ConfigRecord, maxBodyLength, RecordSeal} from './record.js';
 
 const readBackMs: Millis = 5000;
@@ -52,9 +52,10 @@
     private readonly log: LogClient,
     private readonly follower: ConfigFollower,
     clusterKey: string,
+    private readonly stream: string,
     private readonly clock: Clock,
   ) {
-    this.seal = new RecordSeal(clusterKey, configStream);
+    this.seal = new RecordSeal(clusterKey, stream);
   }
 
   /**
@@ -174,7 +175,7 @@
     let problem = 'it was not read back in time';
     for (let attempt = 1; attempt <= 2; attempt += 1) {
       try {
-        await this.log.append(configStream, [sealed]);
+        await this.log.append(this.stream, [sealed]);
         mayTakeEffect = true;
         attempt = 2;
       } catch (error) {
--- a/src/config/snapshots.ts
+++ b/src/config/snapshots.ts
@@ -7,10 +7,6 @@
 import {RecordSeal, supportedFormat} from './record.js';
 import {decodeState, encodeState} from './state_codec.js';
 
-/** Small records, one for each complete snapshot. */
-export const snapshotStream = 'config-snapshots';
-/** The data of snapshots, in parts. */
-export const partStream = 'config-snapshot-parts';
 // Base64 digits in one record, a size that log services commonly take.
 const partLength = 512 * 1024;
 const pageSize = 256;
@@ -22,7 +18,7 @@
   next: t.Int,
   version: t.Int,
   proof: t.string,
-  /** Offsets of the parts in stream `config-snapshot-parts`. */
+  /** Offsets of the parts in their stream. */
   parts: t.array(t.Int),
 });
 
@@ -46,6 +42,10 @@
 export class SnapshotStore {
   private readonly manifestSeal: RecordSeal;
   private readonly partSeal: RecordSeal;
+  /** Small records, one for each complete snapshot. */
+  private readonly manifestStream: string;
+  /** The data of snapshots, in parts. */
+  private readonly partStream: string;
   private manifests: readonly Manifest[] = [];
   private nextManifest = 0;
 
@@ -53,9 +53,12 @@
     private readonly log: LogClient,
     private readonly clusterKey: string,
     private readonly logger: Logger,
+    stream = 'config',
   ) {
-    this.manifestSeal = new RecordSeal(clusterKey, snapshotStream);
-    this.partSeal = new RecordSeal(clusterKey, partStream);
+    this.manifestStream = `${stream}-snapshots`;
+    this.partStream = `${stream}-snapshot-parts`;
+    this.manifestSeal = new RecordSeal(clusterKey, this.manifestStream);
+    this.partSeal = new RecordSeal(clusterKey, this.partStream);
   }
 
   /** Writes a snapshot and gives its size in bytes; throws LogUnavailableError. */
@@ -71,10 +74,10 @@
         part: parts.length,
         data: text.slice(at, at + partLength),
       });
-      parts.push(await this.log.append(partStream, [record]));
+      parts.push(await this.log.append(this.partStream, [record]));
     }
     const {next, version, proof} = encoded;
-    await this.log.append(snapshotStream, [
+    await this.log.append(this.manifestStream, [
       this.manifestSeal.encode({
         kind: 'snapshot',
         snapshot,
@@ -91,7 +94,7 @@
   async findNewest(): Promise<Manifest | undefined> {
     for (;;) {
       const page = await this.log.read(
-        snapshotStream,
+        this.manifestStream,
         this.nextManifest,
         pageSize,
       );
@@ -134,7 +137,7 @@
   ): Promise<E.Either<Error, ConfigState>> {
     const texts: string[] = [];
     for (const [index, offset] of manifest.parts.slice(0, maxParts).entries()) {
-      const page = await this.log.read(partStream, offset, 1);
+      const page = await this.log.read(this.partStream, offset, 1);
       const record = page.records.find(item => item.offset === offset);
       const opened = this.partSeal.decode(partCodec, record?.value);
       if (
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -74,9 +74,15 @@
     const {cluster_key: clusterKey} = settings.peers;
     this.calls = new NodeCallHandlers(clusterKey);
     this.callClient = new NodeCallClient(clusterKey, address);
-    const snapshots = new SnapshotStore(this.log, clusterKey, logger);
+    const snapshots = new SnapshotStore(
+      this.log,
+      clusterKey,
+      logger,
+      settings.log.config_stream,
+    );
     this.follower = new ConfigFollower({
       log: this.log,
+      stream: settings.log.config_stream,
       clusterKey,
       snapshots,
       peers: new ConfigPeers(
@@ -157,6 +163,7 @@
           this.log,
           this.follower,
           clusterKey,
+          settings.log.config_stream,
           clock,
         ),
         registry: this.registry,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -113,6 +113,7 @@
   log: {
     url: makeKey(parseUrl),
     timeout: makeKey(parseDuration, 2000),
+    config_stream: makeKey(parseIdText, 'config'),
     snapshot_every: makeKey(parseDuration, 1_800_000),
   },
   admin: {operator_token: makeKey(parseSecret)},
--- a/test/admin/api.test.ts
+++ b/test/admin/api.test.ts
@@ -61,7 +61,13 @@
   const app = buildAdminServer({
     token,
     follower,
-    operator: new ConfigOperator(log, follower, clusterKey, systemClock),
+    operator: new ConfigOperator(
+      log,
+      follower,
+      clusterKey,
+      'config',
+      systemClock,
+    ),
     roster,
     judge: (service: Service) =>
       judgeService(service, roster.listServers(service.id), {
--- a/test/config/fakes.ts
+++ b/test/config/fakes.ts
@@ -10,7 +10,6 @@
   ConfigRecord,
   configRecordCodec,
   ConfigState,
-  configStream,
   foldRecord,
   PeerAnswer,
   RecordSeal,
@@ -19,7 +18,7 @@
 import {LogClient, LogPage} from '../../src/logservice/index.js';
 
 export const clusterKey = 'test-cluster-key-01';
-export const seal = new RecordSeal(clusterKey, configStream);
+export const seal = new RecordSeal(clusterKey, 'config');
 
 interface FakeStream {
   first: number;
@@ -116,6 +115,7 @@
   const logger = openSilentLogger();
   return new ConfigFollower({
     log,
+    stream: 'config',
     clusterKey,
     snapshots: new SnapshotStore(log, clusterKey, logger),
     peers: makePeers(),
--- a/test/config/fold.test.ts
+++ b/test/config/fold.test.ts
@@ -33,7 +33,10 @@
   fc
     .record({
       plan: fc.integer({min: 0, max: 5}),
-      base: fc.integer({min: -1, max: 12}),
+      base: fc.oneof(
+        {weight: 4, arbitrary: fc.constant(-1)},
+        fc.integer({min: 0, max: 12}),
+      ),
       change: fc.oneof(
         fc.integer({min: 0, max: 3}).map(i => setWeight(`p${i}`, 1 + i)),
         fc.integer({min: 0, max: 2}).map(i => makeRetire(`d${i}`)),
--- a/test/config/follower.test.ts
+++ b/test/config/follower.test.ts
@@ -52,7 +52,13 @@
   const follower = makeFollower(log, {clock: systemClock});
   await follower.load(stop.signal);
   void follower.run(stop.signal);
-  const operator = new ConfigOperator(log, follower, clusterKey, systemClock);
+  const operator = new ConfigOperator(
+    log,
+    follower,
+    clusterKey,
+    'config',
+    systemClock,
+  );
   return {follower, operator, stop: () => stop.abort()};
 }
 
@@ -151,9 +157,13 @@
   const follower = makeFollower(log);
   await follower.loadOnce();
   t.false(follower.merge(emptyConfigState));
+  const older = follower.getState();
+  await log.append('config', [seal.encode(makePlan('plan-more', 1, addDesk))]);
+  await follower.readOnce(0);
+  t.false(follower.merge(older));
   log.get('config').values.splice(0);
   await follower.readOnce(0);
-  t.like(follower.getHold(), {kind: 'log-behind', next: 2, nextOffset: 0});
+  t.like(follower.getHold(), {kind: 'log-behind', next: 3, nextOffset: 0});
   await log.append('config', [seal.encode(makePlan('plan-anew', -1, addDesk))]);
   await follower.readOnce(0);
   t.is(follower.getConfiguration().version, 1);
