Spread node records by gossip over proven links, and suspect silent neighbours

Cause: every node sent its whole roster over every seed link twice a second, proved the key by one constant header that could be replayed, and knew nothing of nodes that cannot be reached.

Ruled out: a full mesh (one small message a second to 449 peers exceeds 17 KB/s); pushing records without an advert (each record would cross to a node about ten times); tombstones alone for dead nodes (nodes forget at different times, so digests would differ for as long as the tombstones do).

Change: five chosen peers, challenge and HMAC on both sides, adverts and wants, digests, suspicions withdrawn on contact, expiry of records by age, lazy publication of figures that no entry waits for, contacts in the log.

--- /dev/null
+++ b/src/bench/index.ts
@@ -0,0 +1,1 @@
+export * from './link_fleet.js';
--- /dev/null
+++ b/src/bench/link_fleet.ts
@@ -0,0 +1,209 @@
+import {createServer, Server} from 'node:http';
+import {
+  asId,
+  BackendServerId,
+  Clock,
+  DataCentreId,
+  Logger,
+  Millis,
+  NodeId,
+  openSilentLogger,
+  RegionId,
+  ServiceId,
+  systemClock,
+} from '../base/index.js';
+import {LogClient} from '../logservice/index.js';
+import {
+  Contacts,
+  NodeRecord,
+  OwnRecord,
+  OwnState,
+  PeerLinks,
+  Roster,
+  ServerReport,
+} from '../membership/index.js';
+
+const peerPort = 7401;
+const dataPort = 7400;
+
+/** Shape of a node that carries only membership. */
+export interface LinkNodePlan {
+  readonly id: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly seeds: readonly string[];
+  readonly servers: number;
+  readonly clusterKey?: string;
+  readonly incarnation?: number;
+  /** Address that others dial, if it differs, such as that of a relay. */
+  readonly peerAddress?: string;
+  readonly dataAddress?: string;
+}
+
+/** A log in memory, for `contacts`. */
+export function makeMemoryLog(): LogClient {
+  const records: {offset: number; atMs: Millis; value: unknown}[] = [];
+  return {
+    append: async (_stream, values) => {
+      const offset = records.length;
+      for (const value of values) {
+        records.push({offset: records.length, atMs: 0, value});
+      }
+      return offset;
+    },
+    read: async (_stream, from, limit) => ({
+      firstOffset: 0,
+      nextOffset: records.length,
+      records: records.slice(from, from + limit),
+    }),
+    close: async () => undefined,
+  };
+}
+
+/** Reports of the backend servers of one node, spread over 120 services as at the stated size. */
+export function makeReports(node: string, count: number): ServerReport[] {
+  const start = Number(node.replace(/\D/g, '')) * count;
+  return Array.from({length: count}, (_, index) => ({
+    server: asId<BackendServerId>(`server-${node}-${index}`),
+    service: asId<ServiceId>(`service-${(start + index) % 120}`),
+    pool: `pool-${(start + index) % 120}`,
+    incarnation: 1_790_000_000_000 + index,
+    slots: 5,
+    phase: 'ready' as const,
+    health: {kind: 'healthy' as const},
+    typicalMs: 8,
+  }));
+}
+
+/** First record of a node of this plan. */
+export function makeNodeRecord(plan: LinkNodePlan, atMs: Millis): NodeRecord {
+  return {
+    node: asId<NodeId>(plan.id),
+    incarnation: plan.incarnation ?? Math.floor(atMs),
+    version: 0,
+    dataCentre: asId<DataCentreId>(plan.dataCentre),
+    region: asId<RegionId>(plan.region),
+    peerAddress: plan.peerAddress ?? `${plan.address}:${peerPort}`,
+    dataAddress: plan.dataAddress ?? `${plan.address}:${dataPort}`,
+    adminAddress: `${plan.address}:7403`,
+    state: 'serving',
+    configVersion: 0,
+    servers: makeReports(plan.id, plan.servers),
+    suspicions: [],
+  };
+}
+
+/** A node that carries only membership: real links, a data port that answers 401, and no other role. */
+export class LinkNode {
+  readonly roster: Roster;
+  readonly own: OwnRecord;
+  readonly links: PeerLinks;
+  configVersion = 0;
+  readonly hints: {readonly node: NodeId; readonly version: number}[] = [];
+  private readonly stopping = new AbortController();
+  private readonly dataPort: Server;
+  private running: Promise<void> = Promise.resolve();
+
+  constructor(
+    readonly plan: LinkNodePlan,
+    log: LogClient = makeMemoryLog(),
+    clock: Clock = systemClock,
+    logger: Logger = openSilentLogger(),
+  ) {
+    const first = makeNodeRecord(plan, clock.getTime());
+    const {node, peerAddress} = first;
+    this.roster = new Roster(clock);
+    this.own = new OwnRecord(first, this.roster, clock, Math.random, logger);
+    this.links = new PeerLinks(
+      {
+        listen: `${plan.address}:${peerPort}`,
+        localAddress: plan.address,
+        seeds: plan.seeds,
+        clusterKey: plan.clusterKey ?? 'cluster-key-0001',
+        getConfigVersion: () => this.configVersion,
+        onPeerVersion: (record, version) =>
+          this.hints.push({node: record.node, version}),
+        onSuspicionsChange: () => this.publish({}),
+      },
+      this.own,
+      this.roster,
+      new Contacts(log, {node, peerAddress}, clock, Math.random, logger),
+      clock,
+      Math.random,
+      logger,
+    );
+    this.dataPort = createServer((_request, response) => {
+      response.writeHead(401, {connection: 'close'});
+      response.end();
+    });
+  }
+
+  async start(): Promise<void> {
+    const {address} = this.plan;
+    await new Promise<void>(resolve =>
+      this.dataPort.listen(dataPort, address, resolve),
+    );
+    this.running = this.links.run(this.stopping.signal);
+  }
+
+  publish(change: Partial<OwnState>): void {
+    const {state, configVersion, servers} = this.own.get();
+    const suspicions = this.links.listSuspicions();
+    this.own.update({state, configVersion, servers, suspicions, ...change});
+  }
+
+  /** Drains one backend server and publishes it. */
+  drainServer(index: number): void {
+    const {servers} = this.own.get();
+    this.publish({
+      servers: servers.map((report, i) =>
+        i === index
+          ? {...report, phase: report.phase === 'ready' ? 'draining' : 'ready'}
+          : report,
+      ),
+    });
+  }
+
+  async closeDataPort(): Promise<void> {
+    this.dataPort.closeAllConnections();
+    await new Promise<void>(resolve => this.dataPort.close(() => resolve()));
+  }
+
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    if (this.dataPort.listening) await this.closeDataPort();
+    await this.running;
+  }
+}
+
+/** Plans for a fleet on the loopback interface: 6 data centres in 2 regions, the first 3 nodes as seeds. */
+export function planLinkFleet(
+  count: number,
+  network: number,
+  servers = 12,
+): readonly LinkNodePlan[] {
+  const seeds = [1, 2, 3].map(i => `127.${network}.0.${i}:${peerPort}`);
+  return Array.from({length: count}, (_, index) => ({
+    id: `n${index}`,
+    address: `127.${network}.${Math.floor(index / 250)}.${1 + (index % 250)}`,
+    dataCentre: `dc-${index % 6}`,
+    region: index % 6 < 3 ? 'east' : 'west',
+    seeds,
+    servers,
+  }));
+}
+
+/** Waits until the check holds; throws with its description after the time given. */
+export async function waitFor(
+  description: string,
+  timeoutMs: Millis,
+  check: () => boolean,
+): Promise<Millis> {
+  const start = systemClock.getTime();
+  while (systemClock.getTime() < start + timeoutMs) {
+    if (check()) return systemClock.getTime() - start;
+    await systemClock.sleep(10);
+  }
+  throw new Error(`not within ${timeoutMs} ms: ${description}`);
+}
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -18,19 +18,27 @@
 import {buildDataPort, Guard} from '../guard/index.js';
 import {JudgedServer, judgeService} from '../health/index.js';
 import {createLogClient, LogClient} from '../logservice/index.js';
-import {NodeRecord, PeerLinks, Roster} from '../membership/index.js';
+import {
+  Contacts,
+  findSuspected,
+  NodeRecord,
+  OwnRecord,
+  PeerLinks,
+  Roster,
+} from '../membership/index.js';
 import {NodeCallClient, NodeCallHandlers} from '../nodecalls/index.js';
 import {Settings} from './settings.js';
 
 const recordPeriodMs: Millis = 500;
-const spreadMs: Millis = 500;
+/** Time for the news that this node leaves to reach the entries; see docs/membership.md for what it takes. */
+const leavingMs: Millis = 1000;
 /** Time for which a node that refused a connection gets no work from this entry. */
 const unreachableMs: Millis = 2000;
 
 /** One node: wires the modules together and owns this node's record. */
 export class FleetNode {
   private readonly stopping = new AbortController();
-  private readonly roster = new Roster();
+  private readonly roster: Roster;
   private readonly log: LogClient;
   private readonly follower: ConfigFollower;
   private readonly guard: Guard;
@@ -41,7 +49,7 @@
   private readonly links: PeerLinks;
   private readonly servers: readonly FastifyInstance[];
   private readonly unreachable = new Map<NodeId, Millis>();
-  private record: NodeRecord;
+  private readonly own: OwnRecord;
   private leaving = false;
 
   constructor(
@@ -50,8 +58,15 @@
     private readonly logger: Logger,
   ) {
     const {address} = settings.node;
-    this.record = this.makeFirstRecord();
-    this.roster.merge(this.record);
+    this.roster = new Roster(clock);
+    this.own = new OwnRecord(
+      this.makeFirstRecord(),
+      this.roster,
+      clock,
+      Math.random,
+      logger,
+    );
+    const {node, peerAddress} = this.own.get();
     this.log = createLogClient({
       url: settings.log.url,
       timeoutMs: settings.log.timeout,
@@ -73,7 +88,7 @@
     this.remotes = new RemoteGuards(settings.peers.cluster_key, clock, address);
     this.entry = new Entry(
       {
-        node: this.record.node,
+        node,
         guard: this.guard,
         remotes: this.remotes,
         judge: service => this.judge(service),
@@ -95,10 +110,16 @@
         localAddress: address,
         seeds: settings.peers.seeds,
         clusterKey: settings.peers.cluster_key,
-        spreadMs,
+        getConfigVersion: () => this.follower.getConfiguration().version,
+        onPeerVersion: (record, version) =>
+          logger.debug({peer: record.node, version}, 'peer is ahead'),
+        onSuspicionsChange: () => this.publishRecord(),
       },
+      this.own,
       this.roster,
+      new Contacts(this.log, {node, peerAddress}, clock, Math.random, logger),
       clock,
+      Math.random,
       logger,
     );
     this.servers = [
@@ -129,7 +150,7 @@
     for (const [index, server] of this.servers.entries()) {
       await server.listen({host: node.address, port: order[index]});
     }
-    this.logger.info({node: this.record.node}, 'serving');
+    this.logger.info({node: this.own.get().node}, 'serving');
   }
 
   /** Graceful shutdown: announces that the node leaves, takes no new work, lets what is in flight end. */
@@ -137,8 +158,7 @@
     this.logger.info('leaving');
     this.leaving = true;
     this.publishRecord();
-    this.links.spread();
-    await this.clock.sleep(spreadMs);
+    await this.clock.sleep(leavingMs);
     const closing = Promise.all(this.servers.map(server => server.close()));
     await Promise.race([
       closing,
@@ -155,10 +175,19 @@
     const {retired} = this.follower.getConfiguration();
     return judgeService(service, this.roster.listServers(service.id), {
       isRetired: server => retired[server] !== undefined,
-      isUnreachable: node => (this.unreachable.get(node) ?? 0) > now,
+      isUnreachable: node =>
+        (this.unreachable.get(node) ?? 0) > now || this.isSuspected(node),
     });
   }
 
+  /** Whether witnesses in two data centres cannot reach a node; this node always reaches itself. */
+  private isSuspected(node: NodeId): boolean {
+    return (
+      node !== this.own.get().node &&
+      findSuspected(this.roster.list()).has(node)
+    );
+  }
+
   private setReached(node: NodeId, reached: boolean): void {
     if (reached) this.unreachable.delete(node);
     else this.unreachable.set(node, this.clock.getTime() + unreachableMs);
@@ -202,16 +231,13 @@
     };
   }
 
-  /** Puts the present state into this node's record if it changed. */
+  /** Puts the present state into this node's record, which decides whether it is worth a new version. */
   private publishRecord(): void {
-    const next: NodeRecord = {
-      ...this.record,
+    this.own.update({
       state: this.leaving ? 'leaving' : 'serving',
       configVersion: this.follower.getConfiguration().version,
       servers: this.guard.listReports(),
-    };
-    if (JSON.stringify(next) === JSON.stringify(this.record)) return;
-    this.record = {...next, version: this.record.version + 1};
-    this.roster.merge(this.record);
+      suspicions: this.links.listSuspicions(),
+    });
   }
 }
--- /dev/null
+++ b/src/membership/dialler.ts
@@ -0,0 +1,197 @@
+import {Clock, Millis, NodeId, Random} from '../base/index.js';
+import {Contacts} from './contacts.js';
+import {closeCodes, LinksTable} from './links_table.js';
+import {NodeRecord} from './node_record.js';
+import {OwnRecord} from './own_record.js';
+import {choosePeers} from './peer_choice.js';
+import {Roster} from './roster.js';
+import {findSuspected} from './suspicion.js';
+import {Watcher} from './watcher.js';
+
+const firstPauseMs: Millis = 250;
+const maxPauseMs: Millis = 10_000;
+const maxFirstPeers = 3;
+const seedCheckMs: Millis = 30_000;
+/** A dialled link that nobody chose stays for a while, so that short changes of the roster do not cut links. */
+const graceMs: Millis = 5000;
+// With more lost neighbours than this the cause is wide, and substitutes would fail and be suspected too.
+const maxSubstituted = 2;
+
+/** What the dialler looks at, and how it opens a link. */
+export interface DiallerContext {
+  readonly own: OwnRecord;
+  readonly roster: Roster;
+  readonly contacts: Contacts;
+  readonly watcher: Watcher;
+  readonly table: LinksTable;
+  readonly seeds: readonly string[];
+  /** Opens a link and resolves when it has ended; gives the node there if it was proven. */
+  open(address: string, signal: AbortSignal): Promise<NodeId | undefined>;
+}
+
+interface Dial {
+  readonly stop: AbortController;
+  readonly done: Promise<void>;
+}
+
+/** Keeps links to chosen peers, to lost neighbours until they are reached again, and to the first peers. */
+export class Dialler {
+  private readonly dials = new Map<string, Dial>();
+  private readonly nodeAt = new Map<string, NodeId>();
+  private readonly unwantedSince = new Map<NodeId, Millis>();
+  private firstPeers: readonly string[] = [];
+  private stopped = false;
+
+  constructor(
+    private readonly context: DiallerContext,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const contacts = this.context.contacts.run(signal);
+    await this.findFirstPeers(signal);
+    this.stopped = true;
+    const ending = [...this.dials.values()];
+    for (const dial of ending) dial.stop.abort();
+    await Promise.all([contacts, ...ending.map(dial => dial.done)]);
+  }
+
+  /** Starts and ends dials as the roster and the suspicions ask for. */
+  updateDials(): void {
+    if (this.stopped) return;
+    const {roster, table, watcher} = this.context;
+    const chosen = this.listChosen();
+    for (const {node} of chosen) watcher.add(node);
+    this.removeWatched(chosen);
+    const lost = watcher.list().filter(node => !table.has(node));
+    const addresses = new Set(this.firstPeers);
+    for (const {peerAddress} of chosen) addresses.add(peerAddress);
+    for (const node of lost) {
+      const record = roster.get(node);
+      if (record) addresses.add(record.peerAddress);
+    }
+    for (const link of table.all) {
+      const record = roster.get(link.node);
+      if (record && link.isDialled) addresses.add(record.peerAddress);
+    }
+    this.closeUnwanted(chosen);
+    for (const address of addresses) this.addDial(address);
+    for (const [address, {stop}] of this.dials) {
+      if (!addresses.has(address)) stop.abort();
+    }
+  }
+
+  private listChosen(): readonly NodeRecord[] {
+    const {own, roster, watcher} = this.context;
+    const records = roster.list();
+    const lost = watcher.list().filter(node => watcher.isSuspected(node));
+    const excluded = findSuspected(records);
+    const isWide = lost.length > maxSubstituted;
+    return choosePeers(
+      own.get(),
+      records,
+      node => !isWide && (excluded.has(node) || watcher.isSuspected(node)),
+    );
+  }
+
+  private removeWatched(chosen: readonly NodeRecord[]): void {
+    const {roster, table, watcher} = this.context;
+    for (const node of watcher.list()) {
+      if (table.has(node) || chosen.some(record => record.node === node)) {
+        continue;
+      }
+      if (roster.get(node)?.state !== 'serving') watcher.remove(node);
+    }
+  }
+
+  private closeUnwanted(chosen: readonly NodeRecord[]): void {
+    const {table} = this.context;
+    const now = this.clock.getTime();
+    const wanted = new Set(chosen.map(record => record.node));
+    for (const link of table.all) {
+      if (!link.isDialled || wanted.has(link.node) || table.all.size <= 2) {
+        this.unwantedSince.delete(link.node);
+        continue;
+      }
+      const since = this.unwantedSince.get(link.node) ?? now;
+      this.unwantedSince.set(link.node, since);
+      if (now - since < graceMs) continue;
+      this.unwantedSince.delete(link.node);
+      this.firstPeers = this.firstPeers.filter(
+        address => this.nodeAt.get(address) !== link.node,
+      );
+      link.socket.close(closeCodes.notNeeded);
+    }
+  }
+
+  private addDial(address: string): void {
+    if (this.dials.has(address)) return;
+    const stop = new AbortController();
+    const done = this.dial(address, stop.signal).finally(() =>
+      this.dials.delete(address),
+    );
+    this.dials.set(address, {stop, done});
+  }
+
+  private async dial(address: string, signal: AbortSignal): Promise<void> {
+    let pauseMs = firstPauseMs;
+    await this.clock.sleep(this.random() * firstPauseMs, signal);
+    while (!signal.aborted) {
+      if (!this.isLinked(address)) {
+        const node = await this.context.open(address, signal);
+        if (node) this.nodeAt.set(address, node);
+        pauseMs = node ? firstPauseMs : Math.min(maxPauseMs, pauseMs * 2);
+      }
+      await this.clock.sleep(pauseMs * (0.5 + this.random()), signal);
+    }
+  }
+
+  private isLinked(address: string): boolean {
+    const {roster, table} = this.context;
+    // A seed may be listed with another address than the one its node advertises.
+    const node = this.nodeAt.get(address);
+    if (node && table.has(node)) return true;
+    return [...table.all].some(
+      link => roster.get(link.node)?.peerAddress === address,
+    );
+  }
+
+  /** Picks first peers while links are missing, and afterwards seeds that are in no known record. */
+  private async findFirstPeers(signal: AbortSignal): Promise<void> {
+    const {table, contacts, seeds, roster} = this.context;
+    let pauseMs = 1000;
+    while (!signal.aborted) {
+      if (table.all.size < 2) {
+        const linked = roster.list().filter(record => table.has(record.node));
+        this.firstPeers = this.pickFirst(seeds, linked);
+        this.updateDials();
+        const written = await contacts.list();
+        const addresses = written.map(contact => contact.peerAddress);
+        this.firstPeers = this.pickFirst([...seeds, ...addresses], linked);
+        await this.clock.sleep(pauseMs * (0.5 + this.random()), signal);
+        pauseMs = Math.min(seedCheckMs, pauseMs * 2);
+      } else {
+        pauseMs = 1000;
+        this.firstPeers = this.pickFirst(seeds, roster.list());
+        await this.clock.sleep(seedCheckMs * (0.5 + this.random()), signal);
+      }
+    }
+  }
+
+  private pickFirst(
+    addresses: readonly string[],
+    known: readonly NodeRecord[],
+  ): readonly string[] {
+    const names = new Set(known.map(record => record.node));
+    const taken = new Set(known.map(record => record.peerAddress));
+    taken.add(this.context.own.get().peerAddress);
+    const rest = [...new Set(addresses)].filter(address => {
+      const node = this.nodeAt.get(address);
+      return !taken.has(address) && !(node && names.has(node));
+    });
+    const start = Math.floor(this.random() * rest.length);
+    const rotated = [...rest.slice(start), ...rest.slice(0, start)];
+    return rotated.slice(0, maxFirstPeers);
+  }
+}
--- a/src/membership/node_record.ts
+++ b/src/membership/node_record.ts
@@ -2,6 +2,7 @@
 import {
   BackendServerId,
   DataCentreId,
+  isIdText,
   NodeId,
   RegionId,
   ServiceId,
@@ -58,6 +59,7 @@
   dataAddress: t.string,
   adminAddress: t.string,
   state: t.keyof({serving: null, leaving: null}),
+  /** Version in force when the record was published; it follows a change within about a minute. */
   configVersion: t.number,
   servers: t.array(serverReportCodec),
   suspicions: t.array(suspicionCodec),
@@ -77,6 +79,27 @@
   readonly servers: ServerReport[];
 }
 
+/** Identity of one state of a node record. */
+export type RecordVersion = Pick<
+  NodeRecord,
+  'node' | 'incarnation' | 'version'
+>;
+
+// An infinite or fractional number could never be replaced by its owner.
+function isCount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
+}
+
+/** Tells whether a decoded record holds ids and versions that its owner can replace. */
+export function isSoundRecord(record: t.TypeOf<typeof nodeRecordCodec>) {
+  return (
+    isIdText(record.node) &&
+    isIdText(record.dataCentre) &&
+    isCount(record.incarnation) &&
+    isCount(record.version)
+  );
+}
+
 /** Tells whether a record replaces another of the same node. */
 export function isNewer(
   a: Pick<NodeRecord, 'incarnation' | 'version'>,
--- a/src/membership/peer_links.ts
+++ b/src/membership/peer_links.ts
@@ -1,111 +1,286 @@
 import * as E from 'fp-ts/lib/Either.js';
-import * as t from 'io-ts';
-import {pack, unpack} from 'msgpackr';
 import {WebSocket, WebSocketServer} from 'ws';
 import {
   Clock,
-  decodeWith,
-  isSameSecret,
+  describeError,
   Logger,
   Millis,
+  NodeId,
+  Random,
   runEvery,
-  signParts,
 } from '../base/index.js';
-import {NodeRecord, nodeRecordCodec} from './node_record.js';
+import {Contacts} from './contacts.js';
+import {Dialler} from './dialler.js';
+import {checkDataPort} from './data_probe.js';
+import {addTraffic, FrameSocket, noTraffic, Traffic} from './frame_socket.js';
+import {decodeFrame, Frame, Heartbeat, maxFrameBytes} from './frames.js';
+import {Gossip} from './gossip.js';
+import {checkPeer, LinkSide} from './link_proof.js';
+import {closeCodes, LinksTable} from './links_table.js';
+import {NodeRecord} from './node_record.js';
+import {OwnRecord} from './own_record.js';
+import {PeerLink} from './peer_link.js';
 import {Roster} from './roster.js';
+import {Watcher} from './watcher.js';
 
-const maxFrameBytes = 1024 * 1024;
-const redialMs: Millis = 500;
+const tickMs: Millis = 250;
+const ticksPerHeartbeat = 4;
+const ticksPerExpiry = 240;
+const proofTimeoutMs: Millis = 2000;
+// A pause of the other side, such as a collection of garbage, does not cost the link.
+const linkTimeoutMs: Millis = 6000;
+// With 10 neighbours, a probe of about 0.45 KB each way costs 2.2 KB/s at this period.
+const probePeriodMs: Millis = 4000;
+// Strangers can hold no more connections than this; each may buffer one frame of 1 MiB.
+const maxUnproven = 16;
+const maxLinks = 64;
 
-/** Where this node listens for peers and whom it dials. */
+/** Where this node listens for peers, whom it dials first, and what it tells the rest of the node. */
 export interface PeerLinksOptions {
   /** host:port to listen on. */
   readonly listen: string;
+  /** IP address that outgoing connections come from. */
   readonly localAddress: string;
   /** Addresses, host:port, of nodes to dial at start. */
   readonly seeds: readonly string[];
   readonly clusterKey: string;
-  readonly spreadMs: Millis;
+  /** Version of the configuration in force here. */
+  getConfigVersion(): number;
+  /** Called when a neighbour has a newer configuration in force than this node. */
+  onPeerVersion(record: NodeRecord, version: number): void;
+  /** Called when `listSuspicions` gives something else than before. */
+  onSuspicionsChange(): void;
 }
 
-/** Links to other nodes; each carries node records both ways. */
+/** Links to other nodes: spreads node records over them and watches the nodes at their other ends. */
 export class PeerLinks {
-  private readonly links = new Set<WebSocket>();
+  private readonly table: LinksTable;
+  private readonly watcher: Watcher;
+  private readonly gossip: Gossip;
+  private readonly dialler: Dialler;
+  private readonly probeAt = new Map<NodeId, Millis>();
+  private suspicions = '[]';
+  private unproven = 0;
+  private ticks = 0;
+  private closedTraffic = noTraffic;
+  private stopped = false;
 
   constructor(
     private readonly options: PeerLinksOptions,
+    private readonly own: OwnRecord,
     private readonly roster: Roster,
+    contacts: Contacts,
     private readonly clock: Clock,
+    private readonly random: Random,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.table = new LinksTable(own.get().node, clock);
+    this.watcher = new Watcher(roster, clock);
+    this.gossip = new Gossip(own, roster, this.table.all, clock, random);
+    this.dialler = new Dialler(
+      {
+        own,
+        roster,
+        contacts,
+        watcher: this.watcher,
+        table: this.table,
+        seeds: options.seeds,
+        open: (address, signal) => this.open(address, signal),
+      },
+      clock,
+      random,
+    );
+  }
 
-  /** Listens, dials the seeds and spreads records until the signal aborts. */
+  /** Listens, dials peers and exchanges records until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const [host, port] = this.options.listen.split(':');
+    const separator = this.options.listen.lastIndexOf(':');
     const server = new WebSocketServer({
-      host,
-      port: Number(port),
+      host: this.options.listen.slice(0, separator),
+      port: Number(this.options.listen.slice(separator + 1)),
       maxPayload: maxFrameBytes,
-      verifyClient: ({req}: {req: {headers: Record<string, unknown>}}) =>
-        isSameSecret(
-          String(req.headers['fescuewheel-auth'] ?? ''),
-          this.signLink(),
-        ),
+      perMessageDeflate: false,
     });
-    server.on('connection', link => this.useLink(link));
-    const dials = this.options.seeds.map(seed => this.dial(seed, signal));
-    await runEvery(this.clock, this.options.spreadMs, signal, () =>
-      this.spread(),
+    server.on('error', error =>
+      this.logger.error(
+        {error: describeError(error)},
+        'peer port not open; check ports.peers',
+      ),
     );
-    for (const link of this.links) link.terminate();
+    server.on('connection', socket => {
+      const frames = new FrameSocket(socket);
+      const full =
+        this.unproven >= maxUnproven || this.table.all.size >= maxLinks;
+      if (full) frames.close(closeCodes.full);
+      else void this.runLink(frames, 'acceptor');
+    });
+    const dials = this.dialler.run(signal);
+    await runEvery(this.clock, tickMs, signal, () => this.runTick());
+    this.stopped = true;
+    for (const link of this.table.all) link.socket.close(closeCodes.stopping);
     server.close();
-    await Promise.all(dials);
+    await dials;
+    for (const socket of server.clients) socket.terminate();
   }
 
-  /** Sends all known records over all links. */
-  spread(): void {
-    const bytes = pack(this.roster.list());
-    for (const link of this.links) link.send(bytes);
+  /** Nodes that this node cannot reach, for its record; at most as old as a tick. */
+  listSuspicions(): NodeRecord['suspicions'] {
+    return this.watcher.listSuspicions();
   }
 
-  private signLink(): string {
-    return signParts(this.options.clusterKey, ['peer-link']);
+  /** Nodes linked now. */
+  listLinked(): readonly NodeId[] {
+    return [...this.table.all].map(link => link.node);
   }
 
-  private async dial(seed: string, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const link = new WebSocket(`ws://${seed}`, {
-        headers: {'fescuewheel-auth': this.signLink()},
-        localAddress: this.options.localAddress,
-        maxPayload: maxFrameBytes,
-        perMessageDeflate: false,
-      });
-      link.on('open', () => this.useLink(link));
-      await new Promise<void>(resolve => {
-        link.on('error', () => resolve());
-        link.on('close', () => resolve());
-      });
-      await this.clock.sleep(redialMs, signal);
-    }
+  /** What went over the links since the start. */
+  getTraffic(): Traffic {
+    const open = [...this.table.all].map(link => link.socket.getTraffic());
+    return open.reduce(addTraffic, this.closedTraffic);
   }
 
-  private useLink(link: WebSocket): void {
-    this.links.add(link);
-    link.on('close', () => this.links.delete(link));
-    link.on('error', () => link.terminate());
-    link.on('message', data => {
-      const decoded = decodeWith(
-        t.array(nodeRecordCodec),
-        unpack(data as Buffer),
-      );
+  private async open(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<NodeId | undefined> {
+    const socket = new WebSocket(`ws://${address}`, {
+      localAddress: this.options.localAddress,
+      maxPayload: maxFrameBytes,
+      perMessageDeflate: false,
+      handshakeTimeout: proofTimeoutMs,
+    });
+    const frames = new FrameSocket(socket);
+    const abort = () => frames.abort();
+    signal.addEventListener('abort', abort, {once: true});
+    const proven = await this.runLink(frames, 'dialler');
+    signal.removeEventListener('abort', abort);
+    return proven;
+  }
+
+  /** The whole life of one link; gives the other node if it proved the key. */
+  private async runLink(
+    socket: FrameSocket,
+    side: LinkSide,
+  ): Promise<NodeId | undefined> {
+    const node = await this.checkSocket(socket, side);
+    if (!node || this.stopped) {
+      socket.close(closeCodes.refused);
+      return undefined;
+    }
+    const link = new PeerLink(node, side === 'dialler', socket, this.clock);
+    if (!this.table.add(link)) {
+      socket.close(closeCodes.duplicate);
+      return node;
+    }
+    this.watcher.add(node);
+    socket.onClose(code => {
+      if (code === closeCodes.notNeeded) this.watcher.remove(node);
+    });
+    this.sendHeartbeat(link);
+    for (;;) {
+      const raw = await socket.receive();
+      if (!raw) break;
+      const decoded = decodeFrame(raw.bytes);
       if (E.isLeft(decoded)) {
-        this.logger.warn({error: decoded.left.message}, 'peer frame refused');
-        link.terminate();
-        return;
-      }
-      for (const record of decoded.right) {
-        this.roster.merge(record as NodeRecord);
+        const error = decoded.left.message;
+        this.logger.warn({node, error}, 'frame of a peer refused');
+        socket.close(closeCodes.refused);
+        break;
       }
+      this.handleFrame(link, decoded.right);
+    }
+    this.table.remove(link);
+    this.closedTraffic = addTraffic(this.closedTraffic, socket.getTraffic());
+    return node;
+  }
+
+  private async checkSocket(
+    socket: FrameSocket,
+    side: LinkSide,
+  ): Promise<NodeId | undefined> {
+    const timer = new AbortController();
+    void this.clock.sleep(proofTimeoutMs, timer.signal).then(() => {
+      if (!timer.signal.aborted) socket.abort();
     });
+    this.unproven += side === 'acceptor' ? 1 : 0;
+    try {
+      if (!(await socket.waitForOpen())) return undefined;
+      const {clusterKey} = this.options;
+      return await checkPeer(socket, side, this.own.get().node, clusterKey);
+    } catch (error) {
+      this.logger.debug({error: describeError(error)}, 'peer not proven');
+      return undefined;
+    } finally {
+      this.unproven -= side === 'acceptor' ? 1 : 0;
+      timer.abort();
+    }
+  }
+
+  private handleFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind === 'heartbeat') this.handleHeartbeat(link, frame);
+    else this.gossip.handle(link, frame);
+  }
+
+  private handleHeartbeat(link: PeerLink, heartbeat: Heartbeat): void {
+    link.recordHeartbeat(heartbeat);
+    this.gossip.compare(link, heartbeat.digest);
+    const record = this.roster.get(link.node);
+    if (record && heartbeat.configVersion > this.options.getConfigVersion()) {
+      this.options.onPeerVersion(record, heartbeat.configVersion);
+    }
+  }
+
+  private sendHeartbeat(link: PeerLink): void {
+    link.sendHeartbeat({
+      incarnation: this.own.get().incarnation,
+      configVersion: this.options.getConfigVersion(),
+      digest: this.roster.getDigest(),
+    });
+  }
+
+  private runTick(): void {
+    this.ticks += 1;
+    const now = this.clock.getTime();
+    for (const link of this.table.all) {
+      const contactAtMs = link.getContactTime();
+      this.watcher.recordContact(link.node, contactAtMs);
+      if (now - contactAtMs > linkTimeoutMs) link.socket.abort();
+      else if (this.ticks % ticksPerHeartbeat === 0) this.sendHeartbeat(link);
+    }
+    this.gossip.requestWanted();
+    if (this.ticks % ticksPerHeartbeat === 0) this.dialler.updateDials();
+    if (this.ticks % ticksPerExpiry === 0) this.roster.removeExpired();
+    this.checkDataPorts(now);
+    this.reportSuspicions();
+  }
+
+  private checkDataPorts(now: Millis): void {
+    for (const node of this.watcher.list()) {
+      const dueMs = this.probeAt.get(node) ?? 0;
+      const record = this.roster.get(node);
+      if (now < dueMs || !record) continue;
+      const pause = probePeriodMs * (0.8 + this.random() * 0.4);
+      this.probeAt.set(node, now + pause);
+      void this.checkDataPortOf(node, record.dataAddress);
+    }
+    for (const node of this.probeAt.keys()) {
+      if (!this.watcher.has(node)) this.probeAt.delete(node);
+    }
+  }
+
+  private async checkDataPortOf(node: NodeId, address: string): Promise<void> {
+    const {localAddress} = this.options;
+    const reached =
+      (await checkDataPort(address, localAddress)) ||
+      (await checkDataPort(address, localAddress));
+    this.watcher.recordDataPort(node, reached);
+  }
+
+  private reportSuspicions(): void {
+    const suspicions = JSON.stringify(this.listSuspicions());
+    if (suspicions === this.suspicions) return;
+    this.suspicions = suspicions;
+    this.logger.warn({suspicions}, 'suspicions of this node changed');
+    this.options.onSuspicionsChange();
   }
 }
