--- a/src/membership/dialler.ts
+++ b/src/membership/dialler.ts
@@ -17,6 +17,9 @@
 // With more lost neighbours than this the cause is wide, and substitutes would fail and be suspected too.
 const maxSubstituted = 2;
 
+/** How a dial ended; `full` means that the other node is alive and takes no more links. */
+export type DialOutcome = 'proven' | 'full' | 'failed';
+
 /** What the dialler looks at, and how it opens a link. */
 export interface DiallerContext {
   readonly own: OwnRecord;
@@ -25,11 +28,17 @@
   readonly watcher: Watcher;
   readonly table: LinksTable;
   readonly seeds: readonly string[];
-  /** Opens a link and resolves when it has ended; gives the node there if it was proven. */
-  open(address: string, signal: AbortSignal): Promise<NodeId | undefined>;
+  /** Opens a link and resolves when it has ended. */
+  open(
+    address: string,
+    onProven: (node: NodeId) => void,
+    signal: AbortSignal,
+  ): Promise<DialOutcome>;
 }
 
 interface Dial {
+  /** Incarnation of the node when the dial began; a restarted node is dialled without the pauses so far. */
+  readonly incarnation: number;
   readonly stop: AbortController;
   readonly done: Promise<void>;
 }
@@ -71,14 +80,18 @@
       const record = roster.get(node);
       if (record) addresses.add(record.peerAddress);
     }
-    for (const link of table.all) {
-      const record = roster.get(link.node);
-      if (record && link.isDialled) addresses.add(record.peerAddress);
-    }
     this.closeUnwanted(chosen);
-    for (const address of addresses) this.addDial(address);
-    for (const [address, {stop}] of this.dials) {
-      if (!addresses.has(address)) stop.abort();
+    const incarnations = new Map(
+      roster.list().map(r => [r.peerAddress, r.incarnation]),
+    );
+    for (const [address, dial] of this.dials) {
+      if (this.isLinked(address)) continue;
+      const incarnation = incarnations.get(address) ?? dial.incarnation;
+      const isRestarted = dial.incarnation < incarnation;
+      if (isRestarted || !addresses.has(address)) dial.stop.abort();
+    }
+    for (const address of addresses) {
+      this.addDial(address, incarnations.get(address) ?? 0);
     }
   }
 
@@ -125,13 +138,13 @@
     }
   }
 
-  private addDial(address: string): void {
+  private addDial(address: string, incarnation: number): void {
     if (this.dials.has(address)) return;
     const stop = new AbortController();
     const done = this.dial(address, stop.signal).finally(() =>
       this.dials.delete(address),
     );
-    this.dials.set(address, {stop, done});
+    this.dials.set(address, {incarnation, stop, done});
   }
 
   private async dial(address: string, signal: AbortSignal): Promise<void> {
@@ -139,14 +152,26 @@
     await this.clock.sleep(this.random() * firstPauseMs, signal);
     while (!signal.aborted) {
       if (!this.isLinked(address)) {
-        const node = await this.context.open(address, signal);
-        if (node) this.nodeAt.set(address, node);
-        pauseMs = node ? firstPauseMs : Math.min(maxPauseMs, pauseMs * 2);
+        const outcome = await this.context.open(
+          address,
+          node => this.nodeAt.set(address, node),
+          signal,
+        );
+        if (outcome === 'full') this.recordFull(address);
+        const isProven = outcome === 'proven';
+        pauseMs = isProven ? firstPauseMs : Math.min(maxPauseMs, pauseMs * 2);
       }
       await this.clock.sleep(pauseMs * (0.5 + this.random()), signal);
     }
   }
 
+  // A node that has too many links to take this one is alive.
+  private recordFull(address: string): void {
+    const {roster, watcher} = this.context;
+    const record = roster.list().find(r => r.peerAddress === address);
+    if (record) watcher.recordContact(record.node, this.clock.getTime());
+  }
+
   private isLinked(address: string): boolean {
     const {roster, table} = this.context;
     // A seed may be listed with another address than the one its node advertises.
--- a/src/membership/own_record.ts
+++ b/src/membership/own_record.ts
@@ -19,12 +19,20 @@
 const averagingMs: Millis = 30_000;
 /** The published typical time changes when the average differs by this factor. */
 const typicalFactor = 1.5;
+// Once there is a new version anyway, the other figures are brought up to date with it.
+const refreshFactor = 1.1;
+// A flapping backend server may change the record each second; each version crosses to every node.
+const maxBurst = 10;
+const versionPauseMs: Millis = 2000;
 // Two processes with the same id would otherwise outbid each other without pause.
 const raisePauseMs: Millis = 5000;
 
 interface Average {
   readonly incarnation: number;
+  /** Logarithm of the time in ms. */
   readonly value: number;
+  readonly samples: number;
+  readonly sinceMs: Millis;
   readonly atMs: Millis;
 }
 
@@ -35,6 +43,8 @@
   private lazyAtMs: Millis | undefined;
   private raisedAtMs = -Infinity;
   private outbid = 0;
+  private credit = maxBurst;
+  private creditedAtMs: Millis;
 
   constructor(
     private record: NodeRecord,
@@ -44,6 +54,7 @@
     private readonly logger: Logger,
   ) {
     this.publishedAtMs = clock.getTime();
+    this.creditedAtMs = this.publishedAtMs;
     roster.merge(record);
   }
 
@@ -52,20 +63,25 @@
   }
 
   /** Publishes the state now if entries must hear of it, and later if only figures moved. */
-  update(state: OwnState): void {
+  update({state, configVersion, suspicions, ...rest}: OwnState): void {
     const now = this.clock.getTime();
     if (this.outbid > 0 && now - this.raisedAtMs >= raisePauseMs) {
       this.replaceIncarnation();
     }
-    const servers = this.estimateTypical(state.servers);
-    const next: NodeRecord = {...this.record, ...state, servers};
+    this.recordTypical(rest.servers);
+    const servers = this.pickTypical(rest.servers, typicalFactor);
+    const change = {state, configVersion, suspicions, servers};
+    const next: NodeRecord = {...this.record, ...change};
     if (isSame(next, this.record)) this.lazyAtMs = undefined;
     else this.lazyAtMs ??= now + this.random() * lazyMs;
     const urgent = !isSame(pickUrgent(next), pickUrgent(this.record));
     const renew = now - this.publishedAtMs >= renewalMs * 0.8;
     const due = now >= (this.lazyAtMs ?? Infinity);
     if (!urgent && !due && !(renew && this.random() < 0.01)) return;
-    this.publish(next);
+    const isLeaving = next.state !== this.record.state;
+    if (!this.hasCredit() && !isLeaving) return;
+    const fresh = this.pickTypical(rest.servers, refreshFactor);
+    this.publish({...next, servers: fresh});
   }
 
   /** Takes a higher incarnation if a copy of this node's record is newer than the node's own. */
@@ -89,6 +105,16 @@
     this.publish({...this.record, incarnation, version: -1});
   }
 
+  private hasCredit(): boolean {
+    const now = this.clock.getTime();
+    const earned = (now - this.creditedAtMs) / versionPauseMs;
+    this.credit = Math.min(maxBurst, this.credit + earned);
+    this.creditedAtMs = now;
+    if (this.credit < 1) return false;
+    this.credit -= 1;
+    return true;
+  }
+
   private publish(next: NodeRecord): void {
     this.record = {...next, version: next.version + 1};
     this.publishedAtMs = this.clock.getTime();
@@ -96,44 +122,71 @@
     this.roster.merge(this.record);
   }
 
-  // At 7 answers a second the guard's typical time crosses a step of 41% many times a minute by chance alone.
-  private estimateTypical(servers: readonly ServerReport[]): ServerReport[] {
+  // The guard's typical time averages about 10 answers, so chance alone moves it over a step of 41%.
+  private recordTypical(servers: readonly ServerReport[]): void {
     const now = this.clock.getTime();
     const present = new Set(servers.map(report => report.server));
     for (const server of this.averages.keys()) {
       if (!present.has(server)) this.averages.delete(server);
     }
+    for (const report of servers) {
+      if (report.typicalMs <= 0) continue;
+      const average = addSample(this.averages.get(report.server), report, now);
+      this.averages.set(report.server, average);
+    }
+  }
+
+  private pickTypical(
+    servers: readonly ServerReport[],
+    factor: number,
+  ): ServerReport[] {
+    const now = this.clock.getTime();
     return servers.map(report => {
       const {server, incarnation, typicalMs} = report;
-      if (typicalMs <= 0) return report;
+      const average = this.averages.get(server);
       const published = this.record.servers.find(
         other => other.server === server && other.incarnation === incarnation,
       )?.typicalMs;
-      const known = this.averages.get(server);
-      const weight =
-        known?.incarnation === incarnation
-          ? 1 - Math.exp((known.atMs - now) / averagingMs)
-          : 1;
-      const before = known?.value ?? 0;
-      const value = before + weight * (Math.log(typicalMs) - before);
-      this.averages.set(server, {incarnation, value, atMs: now});
-      if (!published) return report;
-      const moved = Math.abs(value - Math.log(published));
-      const isClose = moved < Math.log(typicalFactor);
-      const average = Math.round(10 * Math.exp(value)) / 10;
-      return {...report, typicalMs: isClose ? published : average};
+      if (typicalMs <= 0 || !published || !average) return report;
+      const moved = Math.abs(average.value - Math.log(published));
+      const isFresh = now - average.sinceMs < averagingMs;
+      if (isFresh || moved < Math.log(factor)) {
+        return {...report, typicalMs: published};
+      }
+      const rounded = Math.round(10 * Math.exp(average.value)) / 10;
+      return {...report, typicalMs: rounded};
     });
   }
 }
 
+function addSample(
+  known: Average | undefined,
+  {incarnation, typicalMs}: ServerReport,
+  atMs: Millis,
+): Average {
+  const value = Math.log(typicalMs);
+  if (known?.incarnation !== incarnation) {
+    return {incarnation, value, samples: 1, sinceMs: atMs, atMs};
+  }
+  const samples = known.samples + 1;
+  const decay = 1 - Math.exp((known.atMs - atMs) / averagingMs);
+  const weight = Math.max(decay, 1 / samples);
+  const moved = known.value + weight * (value - known.value);
+  return {...known, value: moved, samples, atMs};
+}
+
 function isSame(a: NodeRecord, b: NodeRecord): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
 
+// The first answer time of a backend server is urgent: without any, slowness cannot be judged.
 function pickUrgent(record: NodeRecord): NodeRecord {
   return {
     ...record,
     configVersion: 0,
-    servers: record.servers.map(report => ({...report, typicalMs: 0})),
+    servers: record.servers.map(report => ({
+      ...report,
+      typicalMs: Math.sign(report.typicalMs),
+    })),
   };
 }
--- a/src/membership/peer_links.ts
+++ b/src/membership/peer_links.ts
@@ -10,7 +10,7 @@
   runEvery,
 } from '../base/index.js';
 import {Contacts} from './contacts.js';
-import {Dialler} from './dialler.js';
+import {Dialler, DialOutcome} from './dialler.js';
 import {checkDataPort} from './data_probe.js';
 import {addTraffic, FrameSocket, noTraffic, Traffic} from './frame_socket.js';
 import {decodeFrame, Frame, Heartbeat, maxFrameBytes} from './frames.js';
@@ -33,7 +33,8 @@
 const probePeriodMs: Millis = 4000;
 // Strangers can hold no more connections than this; each may buffer one frame of 1 MiB.
 const maxUnproven = 16;
-const maxLinks = 64;
+// The links that a seed has while all nodes start at once; in the long run a node has about 10.
+const maxLinks = 128;
 
 /** Where this node listens for peers, whom it dials first, and what it tells the rest of the node. */
 export interface PeerLinksOptions {
@@ -85,7 +86,8 @@
         watcher: this.watcher,
         table: this.table,
         seeds: options.seeds,
-        open: (address, signal) => this.open(address, signal),
+        open: (address, onProven, signal) =>
+          this.open(address, onProven, signal),
       },
       clock,
       random,
@@ -141,8 +143,9 @@
 
   private async open(
     address: string,
+    onProven: (node: NodeId) => void,
     signal: AbortSignal,
-  ): Promise<NodeId | undefined> {
+  ): Promise<DialOutcome> {
     const socket = new WebSocket(`ws://${address}`, {
       localAddress: this.options.localAddress,
       maxPayload: maxFrameBytes,
@@ -150,28 +153,31 @@
       handshakeTimeout: proofTimeoutMs,
     });
     const frames = new FrameSocket(socket);
+    let outcome: DialOutcome = 'failed';
+    frames.onClose(code => {
+      if (code === closeCodes.full) outcome = 'full';
+    });
     const abort = () => frames.abort();
     signal.addEventListener('abort', abort, {once: true});
-    const proven = await this.runLink(frames, 'dialler');
+    await this.runLink(frames, 'dialler', node => {
+      onProven(node);
+      outcome = 'proven';
+    });
     signal.removeEventListener('abort', abort);
-    return proven;
+    return outcome;
   }
 
-  /** The whole life of one link; gives the other node if it proved the key. */
+  /** The whole life of one link. */
   private async runLink(
     socket: FrameSocket,
     side: LinkSide,
-  ): Promise<NodeId | undefined> {
+    onProven?: (node: NodeId) => void,
+  ): Promise<void> {
     const node = await this.checkSocket(socket, side);
-    if (!node || this.stopped) {
-      socket.close(closeCodes.refused);
-      return undefined;
-    }
+    if (!node || this.stopped) return socket.close(closeCodes.refused);
+    onProven?.(node);
     const link = new PeerLink(node, side === 'dialler', socket, this.clock);
-    if (!this.table.add(link)) {
-      socket.close(closeCodes.duplicate);
-      return node;
-    }
+    if (!this.table.add(link)) return socket.close(closeCodes.duplicate);
     this.watcher.add(node);
     socket.onClose(code => {
       if (code === closeCodes.notNeeded) this.watcher.remove(node);
@@ -191,7 +197,6 @@
     }
     this.table.remove(link);
     this.closedTraffic = addTraffic(this.closedTraffic, socket.getTraffic());
-    return node;
   }
 
   private async checkSocket(
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -21,10 +21,9 @@
 
 /** An owner publishes its record again at least this often. */
 export const renewalMs: Millis = 30 * 60_000;
-// Longer than a renewal missed plus an hour in which the regions are cut off from each other.
+// Longer than a renewal missed plus an hour in which the regions are cut off from each other. One bound for all
+// records: an earlier version of a record is older, so it never outlives the version that replaced it.
 const expiryMs: Millis = 2 * 3_600_000;
-/** A leaving node exits soon; its record only has to outlive late copies. */
-const leavingExpiryMs: Millis = 10 * 60_000;
 // Covers a copy whose age is wrong because its holder's VM was suspended.
 const tombstoneMs: Millis = 2 * 3_600_000;
 
@@ -42,10 +41,6 @@
   return hashText(`${node}\0${incarnation}\0${version}`);
 }
 
-function getExpiry(record: NodeRecord): Millis {
-  return record.state === 'leaving' ? leavingExpiryMs : expiryMs;
-}
-
 /** The newest record of each node that this node knows. Records expire by age, at about the same time everywhere. */
 export class Roster {
   private readonly held = new Map<NodeId, Held>();
@@ -60,7 +55,7 @@
 
   /** Takes a record of the given age if it is newer than the one known; tells whether it was. */
   merge(record: NodeRecord, ageMs: Millis = 0): boolean {
-    if (!this.needs(record) || ageMs >= getExpiry(record)) return false;
+    if (!this.needs(record) || ageMs >= expiryMs) return false;
     this.remove(record.node);
     this.tombstones.delete(record.node);
     const bornMs = this.clock.getTime() - ageMs;
@@ -94,7 +89,7 @@
   removeExpired(): void {
     const now = this.clock.getTime();
     for (const {record, bornMs} of this.held.values()) {
-      if (now - bornMs < getExpiry(record)) continue;
+      if (now - bornMs < expiryMs) continue;
       const {node, incarnation, version} = record;
       this.remove(node);
       const untilMs = now + tombstoneMs;
--- a/src/membership/watcher.ts
+++ b/src/membership/watcher.ts
@@ -6,6 +6,7 @@
 export const silenceMs: Millis = 3000;
 
 interface Watched {
+  readonly incarnation: number;
   readonly contactAtMs: Millis;
   readonly dataPortLost: boolean;
 }
@@ -17,13 +18,15 @@
   constructor(
     private readonly roster: Roster,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    roster.onMerge(record => this.resetRestarted(record));
+  }
 
   /** Starts to watch; the node has the time of a silence to be reached first. */
   add(node: NodeId): void {
     if (this.watched.has(node)) return;
-    const contactAtMs = this.clock.getTime();
-    this.watched.set(node, {contactAtMs, dataPortLost: false});
+    const incarnation = this.roster.get(node)?.incarnation ?? 0;
+    this.start(node, incarnation);
   }
 
   remove(node: NodeId): void {
@@ -66,6 +69,17 @@
     });
   }
 
+  // A new process at the other end has the time of a silence to be reached, like any other.
+  private resetRestarted({node, incarnation}: NodeRecord): void {
+    const known = this.watched.get(node);
+    if (known && incarnation > known.incarnation) this.start(node, incarnation);
+  }
+
+  private start(node: NodeId, incarnation: number): void {
+    const contactAtMs = this.clock.getTime();
+    this.watched.set(node, {incarnation, contactAtMs, dataPortLost: false});
+  }
+
   private isLost({contactAtMs, dataPortLost}: Watched): boolean {
     return dataPortLost || this.clock.getTime() - contactAtMs > silenceMs;
   }
