Bound the attempts to fetch a record, and never suspect a leaving node

Cause: a node asked without end for a record that its advertiser had forgotten, and the closed data port of a leaving node would have cost a suspicion and its withdrawal from each of about 10 watchers.

Ruled out: dropping a wanted record after the first refusal (while all nodes start, a peer may refuse for its rate).

Change: 20 attempts for a record, after which the comparison of digests starts over; leaving nodes are not probed and not suspected.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -10,6 +10,8 @@
 /** A record asked for is asked for elsewhere after this time. */
 const wantTimeoutMs: Millis = 400;
 const maxAsked = 64;
+// An advertised record may expire before it is asked for; the comparison of digests starts over if it did not.
+const maxAttempts = 20;
 /** Digests that differ for so long are not on the way to be the same. */
 const differenceMs: Millis = 3000;
 const comparePeriodMs: Millis = 10_000;
@@ -19,6 +21,7 @@
 interface Want extends RecordVersion {
   readonly sources: readonly PeerLink[];
   readonly askedAtMs: Millis | undefined;
+  readonly attempts: number;
 }
 
 /** Spreads node records over links: advertised first, then fetched once. */
@@ -98,14 +101,15 @@
     now: Millis,
   ): void {
     const live = want.sources.filter(link => this.links.has(link));
-    if (live.length === 0) {
+    if (live.length === 0 || want.attempts >= maxAttempts) {
       this.wants.delete(want.node);
       return;
     }
     const [source, ...others] = live;
     const sources = [...others, source];
     this.wants.delete(want.node);
-    this.wants.set(want.node, {...want, sources, askedAtMs: now});
+    const attempts = want.attempts + 1;
+    this.wants.set(want.node, {...want, sources, attempts, askedAtMs: now});
     batches.set(source, [...(batches.get(source) ?? []), want.node]);
   }
 
@@ -138,8 +142,12 @@
   private addWant(link: PeerLink, seen: RecordVersion): void {
     const known = this.wants.get(seen.node);
     if (!known || isNewer(seen, known)) {
-      const want = {...seen, sources: [link], askedAtMs: undefined};
-      this.wants.set(seen.node, want);
+      this.wants.set(seen.node, {
+        ...seen,
+        sources: [link],
+        askedAtMs: undefined,
+        attempts: 0,
+      });
       return;
     }
     const isSame = !isNewer(known, seen);
--- a/src/membership/peer_links.ts
+++ b/src/membership/peer_links.ts
@@ -266,7 +266,7 @@
     for (const node of this.watcher.list()) {
       const dueMs = this.probeAt.get(node) ?? 0;
       const record = this.roster.get(node);
-      if (now < dueMs || !record) continue;
+      if (now < dueMs || record?.state !== 'serving') continue;
       const period = this.watcher.isDataPortDoubtful(node)
         ? reprobePeriodMs
         : probePeriodMs;
--- a/src/membership/watcher.ts
+++ b/src/membership/watcher.ts
@@ -85,7 +85,9 @@
     if (doubtful.length * 2 > this.watched.size) return [];
     return lost.sort().flatMap(node => {
       const record = this.roster.get(node);
-      return record ? [{node, incarnation: record.incarnation}] : [];
+      // A leaving node closes its ports in order.
+      if (record?.state !== 'serving') return [];
+      return [{node, incarnation: record.incarnation}];
     });
   }
 
