--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -3,6 +3,7 @@
 import {buildAdminServer} from '../admin/index.js';
 import {
   asId,
+  BackendServerId,
   Clock,
   ConflictError,
   DataCentreId,
@@ -62,6 +63,8 @@
       {
         getConfiguration: () => this.follower.getConfiguration(),
         getBaseline: service => this.getBaseline(service),
+        hasCommonCause: (server, service) =>
+          this.hasCommonCause(server, service),
         onReportChange: () => this.publishRecord(),
       },
       clock,
@@ -121,6 +124,7 @@
     const {signal} = this.stopping;
     const {ports, node} = this.settings;
     void this.follower.run(signal);
+    void this.guard.run(signal);
     void this.links.run(signal);
     void runEvery(this.clock, recordPeriodMs, signal, () =>
       this.publishRecord(),
@@ -156,6 +160,7 @@
     return judgeService(service, this.roster.listServers(service.id), {
       isRetired: server => retired[server] !== undefined,
       isUnreachable: node => (this.unreachable.get(node) ?? 0) > now,
+      isSuspected: () => false,
     });
   }
 
@@ -164,6 +169,18 @@
     else this.unreachable.set(node, this.clock.getTime() + unreachableMs);
   }
 
+  private hasCommonCause(server: BackendServerId, id: ServiceId): boolean {
+    const service = this.follower.getConfiguration().services[id];
+    return (
+      service !== undefined &&
+      this.judge(service).some(
+        ({known, verdict}) =>
+          known.report.server === server &&
+          verdict.kind === 'kept-by-common-cause',
+      )
+    );
+  }
+
   private getBaseline(service: ServiceId): Millis {
     const times = this.roster
       .listServers(service)
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -214,7 +214,8 @@
     this.inFlight.set(server, this.countInFlight(server) - 1);
     if ('load' in answer && answer.load) this.loads.set(server, answer.load);
     if (!isLocal) {
-      const lost = answer.kind === 'refused' && answer.reason === 'unreachable';
+      const lost =
+        answer.kind === 'refused' && answer.reason === 'node-unreachable';
       this.context.onReach(record.node, !lost);
     }
     return answer;
--- a/src/entry/remote_guard.ts
+++ b/src/entry/remote_guard.ts
@@ -62,7 +62,7 @@
       return await readGuardAnswer(answer);
     } catch (error) {
       if (isConnectError(error))
-        return {kind: 'refused', reason: 'unreachable'};
+        return {kind: 'refused', reason: 'node-unreachable'};
       return {kind: 'failed', reason: timeout.aborted ? 'timeout' : 'reset'};
     }
   }
--- a/src/guard/call.ts
+++ b/src/guard/call.ts
@@ -18,9 +18,13 @@
   readonly signal: AbortSignal;
 }
 
-/** Why a request was certainly not run. */
+/**
+ * Why a request was certainly not run. The guard reports a backend server that refuses connections as
+ * `unreachable`; `node-unreachable` is the entry's own failure to connect to the guard.
+ */
 export type RefusalReason =
   | 'busy'
+  | 'node-unreachable'
   | 'draining'
   | 'unknown-server'
   | 'unreachable'
--- /dev/null
+++ b/src/guard/exchange_watch.ts
@@ -0,0 +1,92 @@
+import {IncomingHttpHeaders} from 'node:http';
+import {Readable} from 'node:stream';
+import {Clock, Millis} from '../base/index.js';
+import {Observation} from '../health/index.js';
+import {GuardCall} from './call.js';
+
+// A body up to this size fits into the buffers between the hops, so that its end does not wait for the caller.
+const smallBodyBytes = 65_536;
+// The entry's own timer for the deadline can fire a little earlier than the guard's.
+const deadlineSlackMs: Millis = 50;
+
+/** Follows one exchange with a backend server and tells what it shows of the server's health. */
+export class ExchangeWatch {
+  private startedAt: Millis | undefined;
+  private headersMs: Millis | undefined;
+  private body: Readable | undefined;
+  private isSmall = false;
+  private isOverdue = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly call: Pick<GuardCall, 'body' | 'deadline'>,
+  ) {
+    // The caller sets the pace of a streamed upload; the server's time begins at its end.
+    if (call.body instanceof Readable) {
+      call.body.once('end', () => {
+        this.startedAt = clock.getTime();
+      });
+    } else {
+      this.startedAt = clock.getTime();
+    }
+  }
+
+  recordHeaders(headers: IncomingHttpHeaders, body: Readable): void {
+    this.headersMs = this.measureTime();
+    this.body = body;
+    this.isSmall = Number(headers['content-length'] ?? NaN) <= smallBodyBytes;
+  }
+
+  /**
+   * Tells once when the server has worked longer than the limit, so that a server that hangs is noticed before the
+   * deadlines of its requests. The end of such an exchange says no more about its time.
+   */
+  observeOverdue(limitMs: Millis): Observation | undefined {
+    const tookMs = this.measureServerTime();
+    if (this.isOverdue || tookMs === undefined || tookMs <= limitMs) {
+      return undefined;
+    }
+    this.isOverdue = true;
+    return {kind: 'unfinished', atMs: this.clock.getTime(), tookMs};
+  }
+
+  /** The exchange ended, well or by the server's fault. */
+  observeEnd(ok: boolean): Observation {
+    const tookMs = this.isOverdue ? undefined : this.measureWholeTime();
+    return {kind: 'answer', atMs: this.clock.getTime(), ok, tookMs};
+  }
+
+  /** The deadline passed, or the caller went away, before the end. */
+  observeBreak(): Observation {
+    const atMs = this.clock.getTime();
+    const tookMs = this.measureServerTime();
+    if (tookMs === undefined) return {kind: 'reached', atMs};
+    const isTimeout =
+      this.isServerWorking() && atMs >= this.call.deadline - deadlineSlackMs;
+    if (this.isOverdue) {
+      return isTimeout
+        ? {kind: 'answer', atMs, ok: false}
+        : {kind: 'reached', atMs};
+    }
+    return {kind: isTimeout ? 'timeout' : 'unfinished', atMs, tookMs};
+  }
+
+  /** A server whose bytes wait for the caller has done its part. */
+  private isServerWorking(): boolean {
+    return !this.body || this.body.readableLength === 0;
+  }
+
+  private measureServerTime(): Millis | undefined {
+    return this.isServerWorking() ? this.measureTime() : this.headersMs;
+  }
+
+  private measureWholeTime(): Millis | undefined {
+    return this.isSmall ? this.measureTime() : this.headersMs;
+  }
+
+  private measureTime(): Millis | undefined {
+    return this.startedAt === undefined
+      ? undefined
+      : this.clock.getTime() - this.startedAt;
+  }
+}
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -7,6 +7,7 @@
   describeError,
   Logger,
   Millis,
+  runEvery,
   ServiceId,
 } from '../base/index.js';
 import {
@@ -15,13 +16,7 @@
   presets,
   Service,
 } from '../config/index.js';
-import {
-  advanceHealth,
-  observeAnswer,
-  reportHealth,
-  ServerHealth,
-  unknownHealth,
-} from '../health/index.js';
+import {Observation} from '../health/index.js';
 import {ServerReport} from '../membership/index.js';
 import {Announcement, Announcements} from './announcements.js';
 import {
@@ -31,6 +26,9 @@
   nodeHeaders,
   pickForwardHeaders,
 } from './call.js';
+import {ExchangeWatch} from './exchange_watch.js';
+import {HealthTable} from './health_table.js';
+import {checkReachable, isConnectError} from './probe.js';
 import {SlotTable, SlotUse} from './slots.js';
 
 /** What the guard needs from the rest of the node. */
@@ -38,6 +36,8 @@
   getConfiguration(): Configuration;
   /** Typical answer time of a service over all its backend servers, 0 if unknown. */
   getBaseline(service: ServiceId): Millis;
+  /** Whether the alarms of the service, this server's among them, have a common cause; no if absent. */
+  hasCommonCause?(server: BackendServerId, service: ServiceId): boolean;
   /** Called when a report of a server changes at once, such as an ejection or a drain. */
   onReportChange(): void;
 }
@@ -45,12 +45,15 @@
 const defaultTimeoutMs: Millis = 5000;
 const defaultStallMs: Millis = 2000;
 const defaultQueue = 16;
+const probeCheckMs: Millis = 1000;
+const overdueCheckMs: Millis = 250;
 
 /** The gate before the backend servers of this VM: counts slots, forwards, observes every answer. */
 export class Guard {
   readonly announcements = new Announcements();
   private readonly slots = new Map<BackendServerId, SlotTable>();
-  private readonly health = new Map<BackendServerId, ServerHealth>();
+  private readonly health: HealthTable;
+  private readonly exchanges = new Map<ExchangeWatch, Announcement>();
   private readonly agent: Agent;
 
   constructor(
@@ -67,6 +70,25 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    this.health = new HealthTable(
+      {
+        getRule: ({service}) => this.getRule(service),
+        getBaseline: ({service}) => context.getBaseline(service),
+        hasCommonCause: ({server, service}) =>
+          context.hasCommonCause?.(server, service) ?? false,
+        onChange: () => context.onReportChange(),
+      },
+      clock,
+      logger,
+    );
+  }
+
+  /** Looks after idle backend servers and overdue answers until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      runEvery(this.clock, probeCheckMs, signal, () => this.checkIdle()),
+      runEvery(this.clock, overdueCheckMs, signal, () => this.checkOverdue()),
+    ]);
   }
 
   /** Takes an announcement of a backend server beside this node. */
@@ -75,8 +97,8 @@
     const taken = this.announcements.record(value, this.clock.getTime());
     if (E.isRight(taken)) {
       const known = before.find(other => other.server === taken.right.server);
-      if (known?.incarnation !== taken.right.incarnation) {
-        this.health.set(taken.right.server, unknownHealth);
+      if (known?.phase === 'starting' && taken.right.phase === 'ready') {
+        this.health.start(taken.right);
       }
       this.getSlots(taken.right).setSlots(taken.right.slots);
       if (known?.phase !== taken.right.phase) this.context.onReportChange();
@@ -90,16 +112,8 @@
     for (const gone of this.announcements.removeExpired(now)) {
       this.logger.warn({server: gone.server}, 'backend server gone');
       this.slots.delete(gone.server);
-      this.health.delete(gone.server);
     }
     return this.announcements.list().map(announcement => {
-      const rule = this.getRule(announcement.service);
-      const health = advanceHealth(
-        this.health.get(announcement.server) ?? unknownHealth,
-        rule,
-        now,
-      );
-      this.health.set(announcement.server, health);
       const {server, service, pool, incarnation, slots, phase} = announcement;
       return {
         server,
@@ -108,8 +122,7 @@
         incarnation,
         slots,
         phase,
-        health: reportHealth(health, rule, now),
-        typicalMs: roundTypical(health.typicalMs),
+        ...this.health.report(announcement),
       };
     });
   }
@@ -149,23 +162,26 @@
     slots: SlotTable,
   ): Promise<GuardAnswer> {
     const service = this.getService(announcement.service);
-    const startedAt = this.clock.getTime();
     const exchange = new AbortController();
-    const abort = () => exchange.abort();
-    call.signal.addEventListener('abort', abort, {once: true});
-    const timer = this.startDeadline(call, exchange);
+    const watch = new ExchangeWatch(this.clock, call);
+    this.exchanges.set(watch, announcement);
     let over = false;
 
-    const end = (ok: boolean) => {
+    const end = (seen: Observation) => {
       if (over) return;
       over = true;
+      this.exchanges.delete(watch);
       use.release();
       timer.abort();
-      call.signal.removeEventListener('abort', abort);
-      // A caller that went away says nothing of the backend server.
-      if (call.signal.aborted) return;
-      this.observe(announcement, ok, this.clock.getTime() - startedAt);
+      call.signal.removeEventListener('abort', abortExchange);
+      this.health.observe(announcement, seen);
+    };
+    const abortExchange = () => {
+      end(watch.observeBreak());
+      exchange.abort();
     };
+    call.signal.addEventListener('abort', abortExchange, {once: true});
+    const timer = this.startDeadline(call, abortExchange);
 
     try {
       const answer = await this.agent.request({
@@ -176,7 +192,7 @@
           ...call.headers,
           [nodeHeaders.requestId]: call.requestId,
           [nodeHeaders.deadline]: String(
-            Math.max(1, Math.round(call.deadline - startedAt)),
+            Math.max(1, Math.round(call.deadline - this.clock.getTime())),
           ),
         },
         body: call.body,
@@ -185,11 +201,16 @@
       });
       if (answer.statusCode === 503 && answer.headers[nodeHeaders.notRun]) {
         await answer.body.dump();
-        end(true);
+        end({kind: 'reached', atMs: this.clock.getTime()});
         return {kind: 'refused', reason: 'backend-shed', load: slots.getLoad()};
       }
+      watch.recordHeaders(answer.headers, answer.body);
       finished(answer.body, {writable: false}, error =>
-        end(!error && answer.statusCode < 500),
+        end(
+          isAbort(error)
+            ? watch.observeBreak()
+            : watch.observeEnd(!error && answer.statusCode < 500),
+        ),
       );
       return {
         kind: 'answer',
@@ -200,13 +221,16 @@
       };
     } catch (error) {
       const timedOut = this.clock.getTime() >= call.deadline;
-      end(false);
+      const atMs = this.clock.getTime();
+      const unreachable = isConnectError(error);
+      end(
+        unreachable ? {kind: 'connect-failed', atMs} : watch.observeEnd(false),
+      );
       this.logger.debug(
         {requestId: call.requestId, error: describeError(error)},
         'exchange failed',
       );
-      if (isConnectError(error))
-        return {kind: 'refused', reason: 'unreachable'};
+      if (unreachable) return {kind: 'refused', reason: 'unreachable'};
       const reason: FailureReason = timedOut ? 'timeout' : 'reset';
       return {kind: 'failed', reason};
     }
@@ -214,43 +238,40 @@
 
   private startDeadline(
     call: GuardCall,
-    exchange: AbortController,
+    abortExchange: () => void,
   ): AbortController {
     const timer = new AbortController();
     void this.clock
       .sleep(call.deadline - this.clock.getTime(), timer.signal)
       .then(() => {
-        if (!timer.signal.aborted) exchange.abort();
+        if (!timer.signal.aborted) abortExchange();
       });
     return timer;
   }
 
-  private observe(
-    announcement: Announcement,
-    ok: boolean,
-    tookMs: Millis,
-  ): void {
-    const before = this.health.get(announcement.server) ?? unknownHealth;
-    const after = observeAnswer(
-      before,
-      this.getRule(announcement.service),
-      this.context.getBaseline(announcement.service),
-      {atMs: this.clock.getTime(), ok, tookMs},
-    );
-    this.health.set(announcement.server, after);
-    if (before.state.kind !== after.state.kind) {
-      this.logger.warn(
-        {
-          server: announcement.server,
-          service: announcement.service,
-          state: after.state,
-        },
-        'backend server health changed',
-      );
-      this.context.onReportChange();
+  private checkOverdue(): void {
+    for (const [watch, announcement] of this.exchanges) {
+      const limitMs = this.health.getSlowLimit(announcement);
+      const seen = watch.observeOverdue(limitMs);
+      if (seen) this.health.observe(announcement, seen);
     }
   }
 
+  private async checkIdle(): Promise<void> {
+    const idle = this.announcements
+      .list()
+      .filter(announcement => this.health.needsProbe(announcement));
+    await Promise.all(
+      idle.map(async announcement => {
+        const reached = await checkReachable(this.agent, announcement.address);
+        this.health.observe(announcement, {
+          kind: reached ? 'reached' : 'connect-failed',
+          atMs: this.clock.getTime(),
+        });
+      }),
+    );
+  }
+
   private getService(service: ServiceId): Service | undefined {
     return this.context.getConfiguration().services[service];
   }
@@ -277,14 +298,8 @@
   return service?.timeoutMs ?? defaultTimeoutMs;
 }
 
-// Steps of about 41%: noise within a step does not change the node record.
-function roundTypical(typicalMs: Millis): Millis {
-  if (typicalMs <= 0) return 0;
-  return Math.round(10 * 2 ** (Math.round(2 * Math.log2(typicalMs)) / 2)) / 10;
-}
-
-/** Tells whether the connection was never made, so that no byte of the request left. */
-export function isConnectError(error: unknown): boolean {
-  const {code, syscall} = error as NodeJS.ErrnoException;
-  return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
+// The guard or the receiver of the body ended the transfer, not the backend server.
+function isAbort(error: Error | null | undefined): boolean {
+  const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
+  return code === 'UND_ERR_ABORTED' || code === 'ERR_STREAM_PREMATURE_CLOSE';
 }
--- /dev/null
+++ b/src/guard/health_table.ts
@@ -0,0 +1,143 @@
+import {BackendServerId, Clock, Logger, Millis} from '../base/index.js';
+import {EjectionRule} from '../config/index.js';
+import {
+  advanceHealth,
+  getSlowLimit,
+  makeStartHealth,
+  Observation,
+  observeServer,
+  reportHealth,
+  ServerHealth,
+  clampEjection,
+} from '../health/index.js';
+import {ReportedHealth} from '../membership/index.js';
+import {Announcement} from './announcements.js';
+
+/** What the health table needs from its guard. */
+export interface HealthContext {
+  getRule(announcement: Announcement): EjectionRule;
+  getBaseline(announcement: Announcement): Millis;
+  /** Whether the alarms of the service, this server's among them, have a common cause. */
+  hasCommonCause(announcement: Announcement): boolean;
+  /** Called when the state of a server changes. */
+  onChange(): void;
+}
+
+/** A backend server with no real answer for so long is probed: a probe takes it about 25 ms. */
+export const probePeriodMs: Millis = 5000;
+const probeAgainMs: Millis = 1000;
+
+interface Entry {
+  readonly incarnation: number;
+  readonly health: ServerHealth;
+}
+
+/**
+ * Health of the backend servers of this VM. A server that falls silent and returns in the same incarnation keeps
+ * its health, so that silence clears no ejection.
+ */
+export class HealthTable {
+  private readonly entries = new Map<BackendServerId, Entry>();
+
+  constructor(
+    private readonly context: HealthContext,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Begins anew for a backend server that became ready. */
+  start(announcement: Announcement): void {
+    this.set(announcement, makeStartHealth(this.clock.getTime()));
+  }
+
+  get({server, incarnation}: Announcement): ServerHealth {
+    const entry = this.entries.get(server);
+    return entry?.incarnation === incarnation
+      ? entry.health
+      : makeStartHealth(this.clock.getTime());
+  }
+
+  /** Time from which an answer of the server counts as slow. */
+  getSlowLimit(announcement: Announcement): Millis {
+    return getSlowLimit(
+      this.context.getRule(announcement),
+      this.context.getBaseline(announcement),
+    );
+  }
+
+  observe(announcement: Announcement, seen: Observation): void {
+    const rule = this.context.getRule(announcement);
+    const baselineMs = this.context.getBaseline(announcement);
+    const before = this.get(announcement);
+    this.replace(
+      announcement,
+      observeServer(before, rule, baselineMs, seen),
+      before,
+    );
+  }
+
+  /** What this node's record says of the server's health now. */
+  report(announcement: Announcement): {
+    readonly health: ReportedHealth;
+    readonly typicalMs: Millis;
+  } {
+    const rule = this.context.getRule(announcement);
+    const now = this.clock.getTime();
+    const before = this.get(announcement);
+    const isCommon =
+      before.state.kind === 'ejected' &&
+      this.context.hasCommonCause(announcement);
+    const after = advanceHealth(
+      isCommon ? clampEjection(before, rule) : before,
+      rule,
+      now,
+    );
+    this.set(announcement, after);
+    this.logChange(announcement, before, after);
+    return {
+      health: reportHealth(after, rule, now),
+      typicalMs: roundTypical(after.typicalMs),
+    };
+  }
+
+  /** Whether only a probe can tell now if the server is reachable. */
+  needsProbe(announcement: Announcement): boolean {
+    if (announcement.phase !== 'ready') return false;
+    const {seenAtMs, connectFailures, state} = this.get(announcement);
+    const doubtful = connectFailures > 0 && state.kind !== 'ejected';
+    const idleMs = this.clock.getTime() - seenAtMs;
+    return idleMs >= (doubtful ? probeAgainMs : probePeriodMs);
+  }
+
+  private set({server, incarnation}: Announcement, health: ServerHealth): void {
+    this.entries.set(server, {incarnation, health});
+  }
+
+  private replace(
+    announcement: Announcement,
+    after: ServerHealth,
+    before: ServerHealth,
+  ): void {
+    this.set(announcement, after);
+    if (this.logChange(announcement, before, after)) this.context.onChange();
+  }
+
+  private logChange(
+    {server, service}: Announcement,
+    before: ServerHealth,
+    after: ServerHealth,
+  ): boolean {
+    if (before.state.kind === after.state.kind) return false;
+    this.logger.warn(
+      {server, service, state: after.state, relapses: after.relapses},
+      'backend server health changed',
+    );
+    return true;
+  }
+}
+
+// Steps of about 41%: noise within a step does not change the node record.
+function roundTypical(typicalMs: Millis): Millis {
+  if (typicalMs <= 0) return 0;
+  return Math.round(10 * 2 ** (Math.round(2 * Math.log2(typicalMs)) / 2)) / 10;
+}
--- a/src/health/index.ts
+++ b/src/health/index.ts
@@ -1,2 +1,3 @@
+export * from './evidence.js';
 export * from './judge.js';
 export * from './server_health.js';
--- a/src/health/server_health.ts
+++ b/src/health/server_health.ts
@@ -1,84 +1,222 @@
 import {clampNumber, Millis} from '../base/index.js';
 import {EjectionRule} from '../config/index.js';
 import {ReportedHealth} from '../membership/index.js';
+import {addEvidence, failingRatios, slowRatios} from './evidence.js';
 
-/** One real answer of a backend server, as its guard saw it. */
-export interface Observation {
-  readonly atMs: Millis;
-  /** False for a wrong status, a reset, a cut or stalled body, or a timeout. */
-  readonly ok: boolean;
-  /** Time to the end of the answer, less the time waited for a slot. */
-  readonly tookMs: Millis;
-}
+/** What a guard saw of one backend server, from a real request or from a probe. */
+export type Observation =
+  /** An answer that ended or broke; `tookMs` excludes the wait for a slot and is absent if the caller set the pace. */
+  | {
+      readonly kind: 'answer';
+      readonly atMs: Millis;
+      /** False for a wrong status, a reset, or a cut or stalled body. */
+      readonly ok: boolean;
+      readonly tookMs?: Millis;
+    }
+  /** The deadline passed while the backend server was working. */
+  | {readonly kind: 'timeout'; readonly atMs: Millis; readonly tookMs: Millis}
+  /** The backend server is still working, or was when the caller went away. */
+  | {
+      readonly kind: 'unfinished';
+      readonly atMs: Millis;
+      readonly tookMs: Millis;
+    }
+  /** No connection could be made. */
+  | {readonly kind: 'connect-failed'; readonly atMs: Millis}
+  /** The backend server was reached, which says no more: a shed or a probe. */
+  | {readonly kind: 'reached'; readonly atMs: Millis};
 
 /** Why a backend server was ejected. */
 export type EjectionReason = 'failing' | 'slow' | 'unreachable';
 
+/** Phase of trust in a backend server. */
+export type HealthState =
+  | {readonly kind: 'healthy'; readonly sinceMs: Millis}
+  | {
+      readonly kind: 'ejected';
+      readonly reason: EjectionReason;
+      readonly sinceMs: Millis;
+      readonly untilMs: Millis;
+    }
+  | {
+      readonly kind: 'probation';
+      readonly cause: 'start' | 'ejection';
+      readonly sinceMs: Millis;
+      readonly answers: number;
+    };
+
 /** State of one backend server; replaced by each observation. */
 export interface ServerHealth {
-  readonly state:
-    | {readonly kind: 'healthy'}
-    | {
-        readonly kind: 'ejected';
-        readonly reason: EjectionReason;
-        readonly sinceMs: Millis;
-        readonly untilMs: Millis;
-      }
-    | {readonly kind: 'probation'; readonly sinceMs: Millis};
+  readonly state: HealthState;
   /** CUSUM of the evidence for failing and for slow answers, in nats. */
   readonly failureEvidence: number;
   readonly slowEvidence: number;
   /** Ejections without a long healthy time between them. */
   readonly relapses: number;
-  /** Running typical answer time. */
+  /** Running median of the time of good answers. */
   readonly typicalMs: Millis;
+  /** Failed connections since the last one that was made. */
+  readonly connectFailures: number;
+  /** Time of the newest observation. */
+  readonly seenAtMs: Millis;
 }
 
-/** A backend server of which nothing is known. */
+/** A healthy backend server of which nothing else is known. */
 export const unknownHealth: ServerHealth = {
-  state: {kind: 'healthy'},
+  state: {kind: 'healthy', sinceMs: 0},
   failureEvidence: 0,
   slowEvidence: 0,
   relapses: 0,
   typicalMs: 0,
+  connectFailures: 0,
+  seenAtMs: 0,
 };
 
-// Log likelihood ratios of one answer for a sick server (half of its answers bad) against a healthy one
-// (2% bad).
-const badAnswerNats = Math.log(0.5 / 0.02);
-const goodAnswerNats = Math.log(0.5 / 0.98);
-const typicalWeight = 0.1;
+/** Health of a backend server that has just become ready: its share rises as after an ejection. */
+export function makeStartHealth(nowMs: Millis): ServerHealth {
+  return {
+    ...unknownHealth,
+    state: {kind: 'probation', cause: 'start', sinceMs: nowMs, answers: 0},
+    seenAtMs: nowMs,
+  };
+}
+
+// One refused connection may be a restart within the same second; two in a row are a dead listener.
+const maxConnectFailures = 2;
+// After an ejection the prior odds of a fault are high, so half of the evidence is enough.
+const relapseFactor = 0.5;
+// Probation goes on until so many answers were seen, but no longer than `maxProbations` times its length: an
+// idle backend server must not stay in probation for ever.
+const minProbationAnswers = 10;
+const maxProbations = 3;
+// Relapses are forgotten after this many times the longest ejection, so that a slow flap keeps its count.
+const forgetFactor = 2;
+// Before the service has a typical time, only an answer that took this long can be held against the server.
+const blindLimitMs: Millis = 1000;
+// One answer moves the running median by 5%: a tenfold change is followed within 46 answers, and a single
+// outlier of any size moves it by 5%.
+const medianStep = 1.05;
 
-function addEvidence(evidence: number, bad: boolean): number {
-  return Math.max(0, evidence + (bad ? badAnswerNats : goodAnswerNats));
+/** Time from which an answer counts as slow. */
+export function getSlowLimit(rule: EjectionRule, baselineMs: Millis): Millis {
+  if (baselineMs <= 0) return blindLimitMs;
+  return Math.max(rule.slowFloorMs, baselineMs * rule.slowFactor);
 }
 
-/** Takes one answer into account; `baselineMs` is the typical time of the service, 0 if unknown. */
-export function observeAnswer(
+/** Takes one observation into account; `baselineMs` is the typical time of the service, 0 if unknown. */
+export function observeServer(
   health: ServerHealth,
   rule: EjectionRule,
   baselineMs: Millis,
   seen: Observation,
 ): ServerHealth {
-  const limitMs = Math.max(rule.slowFloorMs, baselineMs * rule.slowFactor);
-  const isSlow = baselineMs > 0 && seen.tookMs > limitMs;
-  const observed: ServerHealth = {
+  const current = {
+    ...advanceHealth(health, rule, seen.atMs),
+    seenAtMs: seen.atMs,
+  };
+  if (seen.kind === 'connect-failed') {
+    return recordConnectFailure(current, rule, seen.atMs);
+  }
+  const reached = {...current, connectFailures: 0};
+  const evidence = findEvidence(seen, getSlowLimit(rule, baselineMs));
+  if (!evidence) return reached;
+  return judgeEvidence(addAnswer(reached, seen, evidence), rule, seen.atMs);
+}
+
+/** What an observation says of each detector; undefined where it says nothing. */
+interface AnswerEvidence {
+  readonly failed?: boolean;
+  readonly slow?: boolean;
+}
+
+function findEvidence(
+  seen: Exclude<Observation, {kind: 'connect-failed'}>,
+  limitMs: Millis,
+): AnswerEvidence | undefined {
+  switch (seen.kind) {
+    case 'reached':
+      return undefined;
+    case 'answer': {
+      if (seen.tookMs === undefined) return {failed: !seen.ok};
+      const slow = seen.tookMs > limitMs;
+      // A quick failure is no evidence of speed.
+      return seen.ok || slow ? {failed: !seen.ok, slow} : {failed: true};
+    }
+    case 'timeout':
+      // A deadline shorter than the slow limit says something of the caller, not of the server.
+      return seen.tookMs > limitMs ? {failed: true, slow: true} : undefined;
+    case 'unfinished':
+      return seen.tookMs > limitMs ? {slow: true} : undefined;
+  }
+}
+
+function addAnswer(
+  health: ServerHealth,
+  seen: Observation,
+  {failed, slow}: AnswerEvidence,
+): ServerHealth {
+  const {state} = health;
+  const tookMs =
+    seen.kind === 'answer' && seen.ok && seen.tookMs ? seen.tookMs : undefined;
+  const typicalMs = tookMs
+    ? updateMedian(health.typicalMs, tookMs)
+    : health.typicalMs;
+  // Answers to requests sent before the ejection say nothing of the time after it.
+  if (state.kind === 'ejected') return {...health, typicalMs};
+  // A cold start is slow and no sign of a fault.
+  const cold = state.kind === 'probation' && state.cause === 'start';
+  return {
     ...health,
-    failureEvidence: addEvidence(health.failureEvidence, !seen.ok),
-    slowEvidence: addEvidence(health.slowEvidence, isSlow),
-    typicalMs:
-      health.typicalMs === 0
-        ? seen.tookMs
-        : health.typicalMs + typicalWeight * (seen.tookMs - health.typicalMs),
+    typicalMs,
+    state:
+      state.kind === 'probation'
+        ? {...state, answers: state.answers + 1}
+        : state,
+    failureEvidence:
+      failed === undefined
+        ? health.failureEvidence
+        : addEvidence(health.failureEvidence, failingRatios, failed),
+    slowEvidence:
+      slow === undefined || cold
+        ? health.slowEvidence
+        : addEvidence(health.slowEvidence, slowRatios, slow),
   };
-  if (observed.state.kind === 'ejected') return observed;
-  if (observed.failureEvidence >= rule.failureThreshold) {
-    return ejectServer(observed, rule, 'failing', seen.atMs);
+}
+
+function judgeEvidence(
+  health: ServerHealth,
+  rule: EjectionRule,
+  atMs: Millis,
+): ServerHealth {
+  const {state} = health;
+  if (state.kind === 'ejected') return health;
+  const relapsing = state.kind === 'probation' && state.cause === 'ejection';
+  const factor = relapsing ? relapseFactor : 1;
+  if (health.failureEvidence >= rule.failureThreshold * factor) {
+    return ejectServer(health, rule, 'failing', atMs);
   }
-  if (observed.slowEvidence >= rule.slowThreshold) {
-    return ejectServer(observed, rule, 'slow', seen.atMs);
+  if (health.slowEvidence >= rule.slowThreshold * factor) {
+    return ejectServer(health, rule, 'slow', atMs);
+  }
+  return health;
+}
+
+function recordConnectFailure(
+  health: ServerHealth,
+  rule: EjectionRule,
+  atMs: Millis,
+): ServerHealth {
+  const connectFailures = health.connectFailures + 1;
+  const failed = {...health, connectFailures};
+  if (connectFailures < maxConnectFailures || failed.state.kind === 'ejected') {
+    return failed;
   }
-  return observed;
+  return ejectServer(failed, rule, 'unreachable', atMs);
+}
+
+function updateMedian(medianMs: Millis, tookMs: Millis): Millis {
+  if (medianMs <= 0) return tookMs;
+  return tookMs > medianMs ? medianMs * medianStep : medianMs / medianStep;
 }
 
 /** Ejects for a time that doubles with each relapse, up to the rule's bound. */
@@ -101,6 +239,18 @@
   };
 }
 
+/** Takes back the doubling of an ejection that has a common cause: it lasts as long as a first one. */
+export function clampEjection(
+  health: ServerHealth,
+  rule: EjectionRule,
+): ServerHealth {
+  const {state} = health;
+  if (state.kind !== 'ejected') return health;
+  const untilMs = Math.min(state.untilMs, state.sinceMs + rule.ejectMs);
+  if (health.relapses === 0 && untilMs === state.untilMs) return health;
+  return {...health, relapses: 0, state: {...state, untilMs}};
+}
+
 /** Moves on what only the passing of time changes. */
 export function advanceHealth(
   health: ServerHealth,
@@ -108,13 +258,38 @@
   nowMs: Millis,
 ): ServerHealth {
   const {state} = health;
-  if (state.kind === 'ejected' && nowMs >= state.untilMs) {
-    return {...health, state: {kind: 'probation', sinceMs: nowMs}};
-  }
-  if (state.kind === 'probation' && nowMs >= state.sinceMs + rule.probationMs) {
-    return {...health, state: {kind: 'healthy'}};
+  switch (state.kind) {
+    case 'healthy':
+      return health.relapses > 0 &&
+        nowMs - state.sinceMs >= forgetFactor * rule.maxEjectMs
+        ? {...health, relapses: 0}
+        : health;
+    case 'ejected': {
+      // A server whose listener is still dead has nothing to prove in probation.
+      const dead = state.reason === 'unreachable' && health.connectFailures > 0;
+      return nowMs < state.untilMs || dead
+        ? health
+        : {
+            ...health,
+            state: {
+              kind: 'probation',
+              cause: 'ejection',
+              sinceMs: nowMs,
+              answers: 0,
+            },
+          };
+    }
+    case 'probation': {
+      const ageMs = nowMs - state.sinceMs;
+      const proven = state.answers >= minProbationAnswers;
+      const over =
+        ageMs >= rule.probationMs * maxProbations ||
+        (proven && ageMs >= rule.probationMs);
+      return over
+        ? {...health, state: {kind: 'healthy', sinceMs: nowMs}}
+        : health;
+    }
   }
-  return health;
 }
 
 const shareStep = 0.1;
@@ -133,8 +308,8 @@
       return {kind: 'ejected', reason: state.reason, sinceMs: state.sinceMs};
     case 'probation': {
       const part = (nowMs - state.sinceMs) / rule.probationMs;
-      const share = Math.ceil(part / shareStep) * shareStep;
-      return {kind: 'probation', share: clampNumber(share, shareStep, 1)};
+      const steps = clampNumber(Math.ceil(part / shareStep), 1, 1 / shareStep);
+      return {kind: 'probation', share: steps / (1 / shareStep)};
     }
   }
 }
