--- a/src/health/judge.ts
+++ b/src/health/judge.ts
@@ -53,12 +53,15 @@
   unreachable: 3,
 };
 
-/** Weight of a server that would be excluded but for the floor; a slow one gives good answers. */
+/**
+ * Weight of a server that would be excluded but for the floor. A slow one gives good answers; the others weigh less
+ * than the smallest share of a starting server.
+ */
 const floorWeights: Readonly<Record<JudgementReason, number>> = {
   slow: 0.5,
-  suspected: 0.1,
-  failing: 0.1,
-  unreachable: 0.1,
+  suspected: 0.05,
+  failing: 0.05,
+  unreachable: 0.05,
 };
 
 // Servers that alarmed together keep half their weight: none is ejected, and those without an alarm get more.
