--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -4,6 +4,7 @@
 import {buildAdminServer} from '../admin/index.js';
 import {
   asId,
+  BackendServerId,
   Clock,
   ConflictError,
   DataCentreId,
@@ -129,6 +130,8 @@
       {
         getConfiguration: () => this.follower.getConfiguration(),
         getBaseline: service => this.getBaseline(service),
+        hasCommonCause: (server, service) =>
+          this.hasCommonCause(server, service),
         onReportChange: () => this.publishRecord(),
       },
       clock,
@@ -198,6 +201,7 @@
   async start(): Promise<void> {
     const {signal} = this.stopping;
     const {ports, node} = this.settings;
+    void this.guard.run(signal);
     void this.links.run(signal);
     void runEvery(this.clock, recordPeriodMs, signal, () =>
       this.publishRecord(),
@@ -263,8 +267,8 @@
     const {retired} = this.follower.getConfiguration();
     return judgeService(service, this.roster.listServers(service.id), {
       isRetired: server => retired[server] !== undefined,
-      isUnreachable: node =>
-        (this.unreachable.get(node) ?? 0) > now || this.isSuspected(node),
+      isUnreachable: node => (this.unreachable.get(node) ?? 0) > now,
+      isSuspected: node => this.isSuspected(node),
     });
   }
 
@@ -281,6 +285,18 @@
     else this.unreachable.set(node, this.clock.getTime() + unreachableMs);
   }
 
+  private hasCommonCause(server: BackendServerId, id: ServiceId): boolean {
+    const service = this.follower.getConfiguration().services[id];
+    return (
+      service !== undefined &&
+      this.judge(service).some(
+        ({known, verdict}) =>
+          known.report.server === server &&
+          verdict.kind === 'kept-by-common-cause',
+      )
+    );
+  }
+
   private getBaseline(service: ServiceId): Millis {
     const times = this.roster
       .listServers(service)
