Queue fairly between partners at the guard and refuse early

Cause: the queue before a backend server was first-in-first-out, so a burst of one partner went before everyone else. Arrays were copied on each step, the queue length was fixed when a server first announced itself, waiting requests stayed at a draining server, and a server that was silent for 4 s and came back got a second set of slots while old exchanges still ran.

Ruled out: deficit round robin, which needs several rounds for weights below 1; a fixed number of places per partner alone, which refuses a third partner once two have filled the queue.

Change: start-time fair queuing over linked lists (fair_queue.ts). A full queue gives the place that would be served last to a request that would be served earlier, and one partner holds at most 3/4 of the places. A request whose estimated wait and answer time pass its deadline is refused at once. Policy (queue length, weights) is read for each request. SlotTables keeps a table while its slots are in use.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -31,6 +31,7 @@
   nodeHeaders,
   pickForwardHeaders,
 } from './call.js';
+import {SlotTables} from './slot_tables.js';
 import {SlotTable, SlotUse} from './slots.js';
 
 /** What the guard needs from the rest of the node. */
@@ -44,12 +45,11 @@
 
 const defaultTimeoutMs: Millis = 5000;
 const defaultStallMs: Millis = 2000;
-const defaultQueue = 16;
 
 /** The gate before the backend servers of this VM: counts slots, forwards, observes every answer. */
 export class Guard {
   readonly announcements = new Announcements();
-  private readonly slots = new Map<BackendServerId, SlotTable>();
+  private readonly slots: SlotTables;
   private readonly health = new Map<BackendServerId, ServerHealth>();
   private readonly agent: Agent;
 
@@ -59,6 +59,7 @@
     private readonly logger: Logger,
     localAddress?: string,
   ) {
+    this.slots = new SlotTables(() => context.getConfiguration(), clock);
     this.agent = new Agent({
       connections: 512,
       pipelining: 1,
@@ -78,7 +79,7 @@
       if (known?.incarnation !== taken.right.incarnation) {
         this.health.set(taken.right.server, unknownHealth);
       }
-      this.getSlots(taken.right).setSlots(taken.right.slots);
+      this.slots.apply(taken.right);
       if (known?.phase !== taken.right.phase) this.context.onReportChange();
     }
     return taken;
@@ -89,7 +90,7 @@
     const now = this.clock.getTime();
     for (const gone of this.announcements.removeExpired(now)) {
       this.logger.warn({server: gone.server}, 'backend server gone');
-      this.slots.delete(gone.server);
+      this.slots.remove(gone.server, 'unknown-server');
       this.health.delete(gone.server);
     }
     return this.announcements.list().map(announcement => {
@@ -118,15 +119,10 @@
   async serve(call: GuardCall): Promise<GuardAnswer> {
     const announcement = this.announcements.get(call.server);
     if (!announcement) return {kind: 'refused', reason: 'unknown-server'};
-    const config = this.context.getConfiguration();
-    if (
-      announcement.phase === 'draining' ||
-      announcement.phase === 'stopped' ||
-      config.retired[call.server]
-    ) {
+    if (this.isLeaving(call.server)) {
       return {kind: 'refused', reason: 'draining'};
     }
-    const slots = this.getSlots(announcement);
+    const slots = this.slots.get(announcement);
     const admitted = await slots.admit(
       call.partner,
       call.deadline,
@@ -135,6 +131,14 @@
     if (E.isLeft(admitted)) {
       return {kind: 'refused', reason: admitted.left, load: slots.getLoad()};
     }
+    // The wait in the queue may have outlived the caller or the server's readiness.
+    if (call.signal.aborted || this.isLeaving(call.server)) {
+      admitted.right.release();
+      return {
+        kind: 'refused',
+        reason: call.signal.aborted ? 'deadline' : 'draining',
+      };
+    }
     return this.forward(call, announcement, admitted.right, slots);
   }
 
@@ -259,16 +263,13 @@
     return this.getService(service)?.rule ?? presets.careful;
   }
 
-  private getSlots(announcement: Announcement): SlotTable {
-    const known = this.slots.get(announcement.server);
-    if (known) return known;
-    const table = new SlotTable(
-      announcement.slots,
-      this.getService(announcement.service)?.queuePerServer ?? defaultQueue,
-      this.clock,
+  private isLeaving(server: BackendServerId): boolean {
+    const phase = this.announcements.get(server)?.phase;
+    return (
+      phase === 'draining' ||
+      phase === 'stopped' ||
+      this.context.getConfiguration().retired[server] !== undefined
     );
-    this.slots.set(announcement.server, table);
-    return table;
   }
 }
 
--- a/src/guard/slots.ts
+++ b/src/guard/slots.ts
@@ -1,28 +1,48 @@
 import * as E from 'fp-ts/lib/Either.js';
 import {Clock, Millis, PartnerId} from '../base/index.js';
 import {RefusalReason, SlotLoad} from './call.js';
+import {FairQueue, QueuePlace} from './fair_queue.js';
 
 /** A slot in use; `release` may be called more than once. */
 export interface SlotUse {
   release(): void;
 }
 
+/** Rules of the queue, read anew for each request so that a new configuration holds at once. */
+export interface SlotPolicy {
+  /** Requests that may wait. */
+  readonly maxQueue: number;
+  /** Relative share of a partner, 1 for equal. */
+  getWeight(partner: PartnerId): number;
+  /** Whether requests are refused when their estimated wait and answer time pass the deadline; true if absent. */
+  readonly refuseEarly?: boolean;
+}
+
 interface Waiter {
-  readonly partner: PartnerId;
-  readonly admit: (use: E.Either<RefusalReason, SlotUse>) => void;
+  readonly deadline: Millis;
+  readonly resolve: (outcome: E.Either<RefusalReason, SlotUse>) => void;
 }
 
-/** Slots of one backend server and the queue before them. */
+/** Share of the queue that one partner may hold, so that others need not displace it. */
+const maxPartnerShare = 0.75;
+const smoothing = 0.1;
+// One stalled answer among thousands must not make the estimate refuse everything.
+const maxSampleFactor = 4;
+
+/** Slots of one backend server and the fair queue before them. */
 export class SlotTable {
   private inUse = 0;
-  private waiters: readonly Waiter[] = [];
+  private holdMs: Millis = 0;
+  private lastUsedAt: Millis = 0;
+  private readonly queue = new FairQueue<Waiter>();
 
   constructor(
     private slots: number,
-    private readonly maxQueue: number,
+    private readonly getPolicy: () => SlotPolicy,
     private readonly clock: Clock,
   ) {}
 
+  /** Changes the number of slots; a smaller number takes effect as slots are released. */
   setSlots(slots: number): void {
     this.slots = slots;
     this.admitNext();
@@ -30,11 +50,16 @@
 
   getLoad(): SlotLoad {
     return {
-      free: Math.max(0, this.slots - this.inUse - this.waiters.length),
+      free: Math.max(0, this.slots - this.inUse - this.queue.size),
       slots: this.slots,
     };
   }
 
+  /** Whether no slot is in use and nobody waits. */
+  isIdle(): boolean {
+    return this.inUse === 0 && this.queue.size === 0;
+  }
+
   /** Takes a slot, waiting in the queue until the deadline at most. */
   async admit(
     partner: PartnerId,
@@ -44,57 +69,127 @@
     if (signal.aborted || this.clock.getTime() >= deadline) {
       return E.left('deadline');
     }
-    if (this.inUse < this.slots && this.waiters.length === 0) {
+    if (this.inUse < this.slots && this.queue.size === 0) {
+      this.queue.reset();
       return E.right(this.useSlot());
     }
-    if (this.waiters.length >= this.maxQueue) return E.left('busy');
-    return this.waitForSlot(partner, deadline, signal);
+    const policy = this.getPolicy();
+    const weight = policy.getWeight(partner);
+    if (
+      policy.refuseEarly !== false &&
+      this.isTooLate(partner, weight, deadline)
+    ) {
+      return E.left('busy');
+    }
+    if (!this.ensurePlace(partner, weight, policy.maxQueue)) {
+      return E.left('busy');
+    }
+    return this.waitForSlot(partner, weight, deadline, signal);
+  }
+
+  /** Refuses all that wait, such as when the backend server drains. */
+  refuseWaiters(reason: RefusalReason): void {
+    for (;;) {
+      const waiter = this.queue.removeNext();
+      if (!waiter) return;
+      waiter.resolve(E.left(reason));
+    }
+  }
+
+  /** Time until a new request of the partner would get a slot, by the running answer time and the queue. */
+  estimateWait(partner: PartnerId, weight: number): Millis {
+    const ahead = this.queue.countAhead(partner, weight);
+    return ((ahead + 1) * this.estimateHold()) / Math.max(1, this.slots);
+  }
+
+  // All uses are at least as old as the newest, so a server that stopped answering raises the estimate at once.
+  private estimateHold(): Millis {
+    if (this.holdMs === 0) return 0;
+    return Math.max(this.holdMs, this.clock.getTime() - this.lastUsedAt);
+  }
+
+  private isTooLate(
+    partner: PartnerId,
+    weight: number,
+    deadline: Millis,
+  ): boolean {
+    const endsIn = this.estimateWait(partner, weight) + this.holdMs;
+    return this.clock.getTime() + endsIn > deadline;
+  }
+
+  /** Makes sure that the partner may wait, if need be in the place of one that would be served later. */
+  private ensurePlace(
+    partner: PartnerId,
+    weight: number,
+    maxQueue: number,
+  ): boolean {
+    const maxOfPartner = Math.ceil(maxQueue * maxPartnerShare);
+    if (this.queue.countOf(partner) >= maxOfPartner) return false;
+    if (this.queue.size < maxQueue) return true;
+    const displaced = this.queue.removeLaterThan(partner, weight);
+    displaced?.resolve(E.left('busy'));
+    return displaced !== undefined;
   }
 
   private waitForSlot(
     partner: PartnerId,
+    weight: number,
     deadline: Millis,
     signal: AbortSignal,
   ): Promise<E.Either<RefusalReason, SlotUse>> {
     return new Promise(resolve => {
       const done = new AbortController();
-      const waiter: Waiter = {
-        partner,
-        admit: use => {
-          this.waiters = this.waiters.filter(other => other !== waiter);
+      const place: QueuePlace<Waiter> = this.queue.add(partner, weight, {
+        deadline,
+        resolve: outcome => {
           done.abort();
-          resolve(use);
+          resolve(outcome);
         },
+      });
+      const endWait = () => {
+        if (this.queue.remove(place)) place.item.resolve(E.left('deadline'));
       };
-      this.waiters = [...this.waiters, waiter];
-      signal.addEventListener('abort', () => waiter.admit(E.left('deadline')), {
+      signal.addEventListener('abort', endWait, {
         once: true,
         signal: done.signal,
       });
       void this.clock
         .sleep(deadline - this.clock.getTime(), done.signal)
-        .then(() => {
-          if (!done.signal.aborted) waiter.admit(E.left('deadline'));
-        });
+        .then(endWait);
     });
   }
 
   private useSlot(): SlotUse {
+    const startedAt = this.clock.getTime();
     this.inUse += 1;
-    let used = true;
+    this.lastUsedAt = startedAt;
+    let isUsed = true;
     return {
       release: () => {
-        if (!used) return;
-        used = false;
+        if (!isUsed) return;
+        isUsed = false;
         this.inUse -= 1;
+        this.recordHold(this.clock.getTime() - startedAt);
         this.admitNext();
       },
     };
   }
 
+  private recordHold(tookMs: Millis): void {
+    if (this.holdMs === 0) {
+      this.holdMs = tookMs;
+      return;
+    }
+    const sample = Math.min(tookMs, this.holdMs * maxSampleFactor);
+    this.holdMs += smoothing * (sample - this.holdMs);
+  }
+
   private admitNext(): void {
-    while (this.inUse < this.slots && this.waiters.length > 0) {
-      this.waiters[0].admit(E.right(this.useSlot()));
+    while (this.inUse < this.slots) {
+      const waiter = this.queue.removeNext();
+      if (!waiter) return;
+      const isLate = this.clock.getTime() >= waiter.deadline;
+      waiter.resolve(isLate ? E.left('deadline') : E.right(this.useSlot()));
     }
   }
 }
--- /dev/null
+++ b/test/admission/guard_slots.test.ts
@@ -0,0 +1,158 @@
+import {createServer, IncomingMessage, ServerResponse} from 'node:http';
+import {AddressInfo} from 'node:net';
+import test from 'ava';
+import {
+  asId,
+  BackendServerId,
+  openSilentLogger,
+  PartnerId,
+  RequestId,
+  systemClock,
+} from '../../src/base/index.js';
+import {emptyConfiguration} from '../../src/config/index.js';
+import {Guard, GuardAnswer, GuardCall} from '../../src/guard/index.js';
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** A guard with one backend server of one slot, whose answers the handler gives. */
+async function openGuard(handler: Handler, slots = 1) {
+  const server = createServer(handler);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const guard = new Guard(
+    {
+      getConfiguration: () => emptyConfiguration,
+      getBaseline: () => 0,
+      onReportChange: () => undefined,
+    },
+    systemClock,
+    openSilentLogger(),
+  );
+  const announce = (phase: string) =>
+    guard.announce({
+      server: 's1',
+      service: 'bench-log',
+      pool: 'p',
+      address: `127.0.0.1:${port}`,
+      incarnation: 1,
+      slots,
+      phase,
+    });
+  announce('ready');
+  const close = async () => {
+    server.closeAllConnections();
+    server.close();
+    await guard.close();
+  };
+  return {guard, announce, close};
+}
+
+function makeCall(path: string, deadlineMs = 3000): GuardCall {
+  return {
+    requestId: asId<RequestId>('r'),
+    server: asId<BackendServerId>('s1'),
+    partner: asId<PartnerId>('a'),
+    method: 'GET',
+    path,
+    headers: {},
+    body: null,
+    deadline: systemClock.getTime() + deadlineMs,
+    signal: new AbortController().signal,
+  };
+}
+
+async function readKind(answer: GuardAnswer): Promise<string> {
+  if (answer.kind !== 'answer') return `${answer.kind} ${answer.reason}`;
+  let size = 0;
+  for await (const chunk of answer.body) size += (chunk as Buffer).length;
+  return `answer ${size}`;
+}
+
+const answerByPath: Handler = (request, response) => {
+  if (request.url === '/ok') return void response.end('ok');
+  if (request.url === '/silent') return undefined;
+  if (request.url === '/reset') return void response.destroy();
+  response.writeHead(200, {'content-length': 1_000_000});
+  response.write('x'.repeat(request.url === '/big' ? 999_999 : 10));
+  return undefined;
+};
+
+// Guards against a slot that is lost for good when an exchange does not end as planned.
+test('no way of ending an exchange loses its slot', async t => {
+  const {guard, close} = await openGuard(answerByPath);
+  const expectFree = async (after: string) => {
+    const answer = await guard.serve(makeCall('/ok'));
+    t.is(await readKind(answer), 'answer 2', after);
+  };
+  await expectFree('start');
+
+  const unread = await guard.serve(makeCall('/big', 150));
+  await expectFree('a body that nobody reads, until its deadline');
+  if (unread.kind === 'answer') unread.body.destroy();
+
+  const stalled = await guard.serve(makeCall('/stall', 100));
+  if (stalled.kind === 'answer')
+    await t.throwsAsync(readKind(stalled), {any: true});
+  await expectFree('a body that stalls');
+
+  const gone = new AbortController();
+  const early = guard.serve({...makeCall('/silent'), signal: gone.signal});
+  await systemClock.sleep(20);
+  gone.abort();
+  t.is((await early).kind, 'failed');
+  await expectFree('a caller gone before the headers');
+
+  const left = new AbortController();
+  const late = await guard.serve({...makeCall('/stall'), signal: left.signal});
+  left.abort();
+  if (late.kind === 'answer') await t.throwsAsync(readKind(late), {any: true});
+  await expectFree('a caller gone during the body');
+
+  t.is((await guard.serve(makeCall('/reset'))).kind, 'failed');
+  await expectFree('a reset');
+
+  const wrong = {...makeCall('/ok'), headers: {'bad name': 'x'}};
+  t.not((await guard.serve(wrong)).kind, 'answer');
+  await expectFree('an exception while sending');
+  await close();
+});
+
+// Guards against waiting requests that a draining server still gets, seconds after it asked for none.
+test('requests that wait at a server are refused when it drains', async t => {
+  const {guard, announce, close} = await openGuard(answerByPath);
+  const first = guard.serve(makeCall('/silent', 400));
+  const waiting = guard.serve(makeCall('/ok'));
+  await systemClock.sleep(20);
+  announce('draining');
+  t.is(await readKind(await waiting), 'refused draining');
+  t.is((await first).kind, 'failed');
+  await close();
+});
+
+// Guards against running a request whose caller left at the moment when it got its slot.
+test('a caller that leaves as its turn comes is not served', async t => {
+  let runs = 0;
+  const {guard, close} = await openGuard((request, response) => {
+    runs += 1;
+    answerByPath(request, response);
+  });
+  const holder = new AbortController();
+  const gone = new AbortController();
+  const first = await guard.serve({
+    ...makeCall('/stall'),
+    signal: holder.signal,
+  });
+  const waiting = guard.serve({...makeCall('/ok'), signal: gone.signal});
+  await systemClock.sleep(20);
+  if (first.kind === 'answer') {
+    first.body.on('error', () => undefined);
+    // Runs in the turn of the event loop in which the slot is passed on.
+    first.body.on('close', () => gone.abort());
+  }
+  holder.abort();
+  t.is(await readKind(await waiting), 'refused deadline');
+  const next = await guard.serve(makeCall('/ok'));
+  t.is(await readKind(next), 'answer 2');
+  t.is(runs, 2);
+  await close();
+});
--- /dev/null
+++ b/test/admission/slots.test.ts
@@ -0,0 +1,240 @@
+import {setMaxListeners} from 'node:events';
+import test from 'ava';
+import fc from 'fast-check';
+import * as E from 'fp-ts/lib/Either.js';
+import {asId, ManualClock, PartnerId} from '../../src/base/index.js';
+import {SlotPolicy, SlotTable, SlotUse} from '../../src/guard/index.js';
+
+const never = new AbortController().signal;
+setMaxListeners(0, never);
+const a = asId<PartnerId>('verlag-a');
+const b = asId<PartnerId>('verlag-b');
+
+function makePolicy(maxQueue: number, weights = {}): SlotPolicy {
+  const known: Readonly<Record<string, number>> = weights;
+  return {maxQueue, getWeight: partner => known[partner] ?? 1};
+}
+
+/** A table whose grants are written down in order; a granted request holds its slot until `end`. */
+function makeTable(slots: number, policy: SlotPolicy) {
+  const clock = new ManualClock();
+  const table = new SlotTable(slots, () => policy, clock);
+  const running: {partner: PartnerId; use: SlotUse}[] = [];
+  const refused: string[] = [];
+  const order: PartnerId[] = [];
+  const send = (partner: PartnerId, deadline = 60_000, signal = never) =>
+    table.admit(partner, deadline, signal).then(outcome => {
+      if (E.isLeft(outcome)) return refused.push(outcome.left);
+      order.push(partner);
+      return running.push({partner, use: outcome.right});
+    });
+  const end = async (count = 1) => {
+    for (const {use} of running.splice(0, count)) use.release();
+    await waitTurn();
+  };
+  return {clock, table, running, refused, order, send, end};
+}
+
+function waitTurn(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+// Guards against first-in-first-out service, where one partner's burst goes before everyone else.
+test('a request of a calm partner is next in turn during a burst', async t => {
+  const {send, end, order} = makeTable(3, makePolicy(40));
+  for (let i = 0; i < 25; i += 1) void send(a);
+  await waitTurn();
+  await end();
+  void send(b);
+  await waitTurn();
+  await end();
+  t.deepEqual(order, [a, a, a, a, b]);
+});
+
+// Guards against turns that ignore the weights of the configuration.
+test('contended slots are shared by weight', async t => {
+  const policy = makePolicy(40, {'verlag-a': 3, 'verlag-b': 1});
+  const {send, end, order} = makeTable(1, policy);
+  for (let i = 0; i < 20; i += 1) {
+    void send(a);
+    void send(b);
+  }
+  await waitTurn();
+  for (let i = 0; i < 16; i += 1) await end();
+  const served = order.slice(1, 17).filter(partner => partner === a).length;
+  t.is(served, 12);
+});
+
+// Guards against one partner holding all places, and against the loss of a displaced request's answer.
+test('a full queue gives a place to the partner that holds less', async t => {
+  const {send, table, refused} = makeTable(1, makePolicy(8));
+  for (let i = 0; i < 8; i += 1) void send(a);
+  await waitTurn();
+  t.deepEqual(refused, ['busy']); // 1 runs, 6 of 8 places
+  for (let i = 0; i < 4; i += 1) void send(b);
+  await waitTurn();
+  t.deepEqual(refused, ['busy', 'busy', 'busy']);
+  void send(b);
+  await waitTurn();
+  t.is(refused.length, 4, 'with equal places nobody is displaced');
+  t.is(table.getLoad().free, 0);
+});
+
+// Guards against starvation in the smallest queue, where the burst retakes the place at each turn.
+test('a queue of one place starves nobody', async t => {
+  const {send, end, order} = makeTable(1, makePolicy(1));
+  for (let i = 0; i < 40; i += 1) {
+    for (let k = 0; k < 5; k += 1) void send(a);
+    void send(b);
+    await waitTurn();
+    await end();
+  }
+  const served = order.filter(partner => partner === b).length;
+  t.true(served >= 15, `served ${served} of 40`);
+});
+
+// Guards against queueing a request until a deadline that was hopeless from the start.
+test('a request that cannot meet its deadline is refused at once', async t => {
+  const {clock, send, end, refused, running} = makeTable(2, makePolicy(40));
+  for (let i = 0; i < 12; i += 1) void send(a);
+  await waitTurn();
+  await clock.advance(100);
+  await end(2);
+  void send(b, clock.getTime() + 120); // waits 50, runs 100
+  await waitTurn();
+  t.deepEqual(refused, ['busy']);
+  void send(b, clock.getTime() + 200);
+  await waitTurn();
+  t.deepEqual(refused, ['busy']);
+  t.is(running.length, 2);
+});
+
+// Guards against an estimate that only finished answers update: a hung server finishes none.
+test('a server that stopped answering raises the estimate', async t => {
+  const {clock, send, end, table} = makeTable(2, makePolicy(40));
+  for (let i = 0; i < 4; i += 1) void send(a);
+  await waitTurn();
+  await clock.advance(10);
+  await end(2);
+  t.is(table.estimateWait(b, 1), 5);
+  await clock.advance(4000);
+  t.is(table.estimateWait(b, 1), 2000);
+});
+
+// Guards against a waiter that left keeping its place, and against granting a slot to nobody.
+test('a caller that goes away leaves the queue', async t => {
+  const {send, end, refused, table, order} = makeTable(1, makePolicy(4));
+  const gone = new AbortController();
+  void send(a);
+  void send(a, 60_000, gone.signal);
+  void send(b);
+  gone.abort();
+  await waitTurn();
+  t.deepEqual(refused, ['deadline']);
+  await end();
+  await end();
+  t.deepEqual(order, [a, b]);
+  t.deepEqual(table.getLoad(), {free: 1, slots: 1});
+});
+
+// Guards against a new queue length or weight that takes effect only for new tables.
+test('a new policy holds for the next request', async t => {
+  let policy = makePolicy(0);
+  const table = new SlotTable(1, () => policy, new ManualClock());
+  await table.admit(a, 1000, never);
+  t.deepEqual(await table.admit(a, 1000, never), E.left('busy'));
+  policy = makePolicy(1);
+  const waiting = table.admit(a, 1000, never);
+  table.setSlots(2);
+  t.true(E.isRight(await waiting), 'an added slot serves who waits');
+});
+
+type Step = readonly ['send' | 'end' | 'leave' | 'time' | 'slots', number];
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  fc.tuple(fc.constant('send' as const), fc.nat(3)),
+  fc.tuple(fc.constant('end' as const), fc.nat(9)),
+  fc.tuple(fc.constant('leave' as const), fc.nat(20)),
+  fc.tuple(fc.constant('time' as const), fc.integer({min: 1, max: 40})),
+  fc.tuple(fc.constant('slots' as const), fc.integer({min: 1, max: 6})),
+);
+
+// Guards against any order of events that grants more slots than there are, or loses one.
+test('slots never exceed their number and none is lost', async t => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(stepArbitrary, {maxLength: 80}), async steps => {
+      const clock = new ManualClock();
+      const policy = makePolicy(5, {p0: 4, p1: 0.5});
+      const table = new SlotTable(3, () => policy, clock);
+      const callers: AbortController[] = [];
+      const uses: SlotUse[] = [];
+      let slots = 3;
+      let inUse = 0;
+      let open = 0;
+      for (const [kind, value] of steps) {
+        if (kind === 'send') {
+          const caller = new AbortController();
+          callers.push(caller);
+          open += 1;
+          const partner = asId<PartnerId>(`p${value}`);
+          const deadline = clock.getTime() + 30 * (value + 1);
+          void table.admit(partner, deadline, caller.signal).then(outcome => {
+            open -= 1;
+            if (E.isLeft(outcome)) return;
+            inUse += 1;
+            if (inUse > slots) throw new Error('more uses than slots');
+            uses.push(outcome.right);
+          });
+        } else if (kind === 'end') {
+          const [use] = uses.splice(value % Math.max(1, uses.length), 1);
+          if (use) inUse -= 1;
+          use?.release();
+          use?.release();
+        } else if (kind === 'leave') {
+          callers[value % Math.max(1, callers.length)]?.abort();
+        } else if (kind === 'time') {
+          await clock.advance(value);
+        } else {
+          slots = value;
+          table.setSlots(slots);
+        }
+        await waitTurn();
+      }
+      while (uses.length > 0) {
+        inUse -= 1;
+        uses.pop()?.release();
+        await waitTurn();
+      }
+      t.is(open, 0, 'every request was granted or refused');
+      t.deepEqual(table.getLoad(), {free: slots, slots});
+    }),
+    {seed: 20261204, numRuns: 150},
+  );
+});
+
+// Guards against a weight or an order of arrival that keeps one partner waiting without bound.
+test('a first waiting request is served within a round of turns', async t => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.integer({min: 1, max: 5}), {minLength: 2, maxLength: 5}),
+      fc.integer({min: 0, max: 30}),
+      async (weights, before) => {
+        const byName = Object.fromEntries(weights.map((w, i) => [`p${i}`, w]));
+        const {send, end, order} = makeTable(1, makePolicy(200, byName));
+        for (let k = 0; k < 30; k += 1) {
+          weights.forEach((_, i) => void send(asId<PartnerId>(`p${i}`)));
+        }
+        await waitTurn();
+        await end(1);
+        for (let k = 0; k < before; k += 1) await end(1);
+        const from = order.length;
+        const calm = asId<PartnerId>('calm');
+        void send(calm);
+        await waitTurn();
+        for (let k = 0; k <= weights.length; k += 1) await end(1);
+        t.true(order.slice(from).includes(calm));
+      },
+    ),
+    {seed: 20261204, numRuns: 60},
+  );
+});
