Stream bodies without an extra copy

Cause: a copy between a caller's body and the HTTP client was added so that a refused upload keeps its connection until the answer is written.

Change: the copy is gone; the test of a refused large upload stays.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -1,7 +1,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {Clock, Millis} from '../base/index.js';
-import {openCopy, hasBody, watchClose} from '../guard/index.js';
+import {hasBody, watchClose} from '../guard/index.js';
 
 /** Body of a caller's request; a held one can be sent again. */
 export type RequestBody =
@@ -21,7 +21,7 @@
     case 'held':
       return body.bytes;
     case 'stream':
-      return openCopy(body.stream);
+      return body.stream;
   }
 }
 
--- a/src/guard/call.ts
+++ b/src/guard/call.ts
@@ -1,5 +1,5 @@
 import {IncomingHttpHeaders} from 'node:http';
-import {PassThrough, Readable} from 'node:stream';
+import {Readable} from 'node:stream';
 import {BackendServerId, Millis, PartnerId, RequestId} from '../base/index.js';
 
 /** A request on its way to one backend server. */
@@ -93,16 +93,3 @@
   }
   return picked;
 }
-
-/**
- * Gives a stream that passes a body on. An HTTP client destroys the body of a request that is answered early; the
- * copy keeps the peer's connection open for that answer.
- */
-export function openCopy(source: Readable): Readable {
-  const copy = new PassThrough();
-  source.once('close', () => {
-    if (!source.readableEnded) copy.destroy(new Error('the sender is gone'));
-  });
-  copy.on('error', () => source.unpipe(copy));
-  return source.pipe(copy);
-}
--- a/src/guard/data_port.ts
+++ b/src/guard/data_port.ts
@@ -12,7 +12,6 @@
 } from '../base/index.js';
 import {NodeCallHandlers} from '../nodecalls/index.js';
 import {
-  openCopy,
   GuardAnswer,
   GuardCall,
   nodeHeaders,
@@ -89,7 +88,7 @@
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: pickForwardHeaders(request.headers),
-      body: hasBody(request) ? openCopy(request) : null,
+      body: hasBody(request) ? request : null,
       deadline:
         clock.getTime() + Number(request.headers[nodeHeaders.deadline] ?? 0),
       signal: watchClose(response),
