--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -58,16 +58,15 @@
 /** Sends requests to backend servers, with retries within the rules and the budget of their service. */
 export class Attempts {
   readonly candidates: CandidateCache;
-  readonly budgets: RetryBudgets;
   readonly loads: ServerLoads;
 
   constructor(
     judge: (service: Service) => readonly JudgedServer[],
     private readonly clock: Clock,
     private readonly random: Random,
+    readonly budgets = new RetryBudgets(clock),
   ) {
     this.candidates = new CandidateCache(judge, clock);
-    this.budgets = new RetryBudgets(clock);
     this.loads = new ServerLoads(clock);
   }
 
--- a/src/guard/slots.ts
+++ b/src/guard/slots.ts
@@ -188,8 +188,17 @@
     while (this.inUse < this.slots) {
       const waiter = this.queue.removeNext();
       if (!waiter) return;
-      const isLate = this.clock.getTime() >= waiter.deadline;
-      waiter.resolve(isLate ? E.left('deadline') : E.right(this.useSlot()));
+      waiter.resolve(this.checkTime(waiter) ?? E.right(this.useSlot()));
     }
   }
+
+  /** Refuses a waiter whose time is used up, so that its slot goes to one that can still be answered in time. */
+  private checkTime({
+    deadline,
+  }: Waiter): E.Either<RefusalReason, never> | undefined {
+    const remaining = deadline - this.clock.getTime();
+    if (remaining <= 0) return E.left('deadline');
+    const isEarly = this.getPolicy().refuseEarly !== false;
+    return isEarly && remaining < this.holdMs ? E.left('busy') : undefined;
+  }
 }
--- a/test/admission/slots.test.ts
+++ b/test/admission/slots.test.ts
@@ -2,7 +2,12 @@
 import test from 'ava';
 import fc from 'fast-check';
 import * as E from 'fp-ts/lib/Either.js';
-import {asId, ManualClock, PartnerId} from '../../src/base/index.js';
+import {
+  asId,
+  makeRandom,
+  ManualClock,
+  PartnerId,
+} from '../../src/base/index.js';
 import {SlotPolicy, SlotTable, SlotUse} from '../../src/guard/index.js';
 
 const never = new AbortController().signal;
@@ -109,6 +114,53 @@
   t.is(running.length, 2);
 });
 
+// Guards against giving a slot to a request that has waited too long to be answered, while others could be.
+test('a slot goes to a waiter that can still be answered in time', async t => {
+  const {clock, send, end, refused, order} = makeTable(1, makePolicy(40));
+  void send(a);
+  await waitTurn();
+  await clock.advance(100);
+  await end();
+  void send(a);
+  await waitTurn();
+  void send(a, clock.getTime() + 210);
+  void send(b, clock.getTime() + 400);
+  await waitTurn();
+  await clock.advance(120);
+  await end();
+  t.deepEqual(refused, ['busy']);
+  t.deepEqual(order, [a, a, b]);
+});
+
+// Guards against a burst that adds more than one longest answer to a request of a partner of which none waits.
+test('a burst adds at most one longest answer to a calm partner', async t => {
+  const seeds = fc.integer({min: 1, max: 1_000_000});
+  await fc.assert(
+    fc.asyncProperty(seeds, fc.integer({min: 2, max: 5}), async (seed, c) => {
+      const clock = new ManualClock();
+      const table = new SlotTable(c, () => makePolicy(16), clock);
+      const random = makeRandom(seed);
+      const run = async (partner: PartnerId) => {
+        const start = clock.getTime();
+        const outcome = await table.admit(partner, start + 5000, never);
+        if (E.isLeft(outcome)) return Infinity;
+        const waited = clock.getTime() - start;
+        void clock.sleep(10 + 20 * random()).then(outcome.right.release);
+        return waited;
+      };
+      const waits: Promise<number>[] = [];
+      for (let ms = 0; ms < 400; ms += 1) {
+        void run(a);
+        if (ms % 80 === 79) waits.push(run(b));
+        await clock.advance(1);
+      }
+      await clock.advance(100);
+      t.true(Math.max(...(await Promise.all(waits))) <= 30);
+    }),
+    {seed: 20261204, numRuns: 20},
+  );
+});
+
 // Guards against an estimate that only finished answers update: a hung server finishes none.
 test('a server that stopped answering raises the estimate', async t => {
   const {clock, send, end, table} = makeTable(2, makePolicy(40));
