--- a/src/bench/admission.ts
+++ b/src/bench/admission.ts
@@ -16,12 +16,7 @@
   systemClock,
 } from '../base/index.js';
 import {presets, Service} from '../config/index.js';
-import {
-  Attempts,
-  ParkingLot,
-  RetryBudget,
-  RetryBudgets,
-} from '../entry/index.js';
+import {Attempts, RetryBudget, RetryBudgets} from '../entry/index.js';
 import {GuardAnswer, SlotTable} from '../guard/index.js';
 import {JudgedServer} from '../health/index.js';
 import {
@@ -161,7 +156,6 @@
 
 interface FleetRules extends TableRules {
   readonly budget?: 'none';
-  readonly parkedMs?: Millis;
   readonly deadlineMs: Millis;
 }
 
@@ -212,12 +206,6 @@
         clock,
         random,
         rules.budget === 'none' ? new UnlimitedBudgets(clock) : undefined,
-        rules.parkedMs === undefined
-          ? undefined
-          : new ParkingLot(
-              {maxParked: 64, budgetMs: rules.parkedMs, resumeMs: 10},
-              clock,
-            ),
       ),
   );
   const capacity = ((servers * rules.slots) / workMs) * 1000;
@@ -266,9 +254,7 @@
     ['FIFO', {...base, kind: 'fifo'}],
     ['fair', {...base, kind: 'fair'}],
     ['fair, early refusal', {...base, kind: 'fair-early'}],
-    ['same, parking', {...base, kind: 'fair-early', parkedMs: 60}],
     ['shed, no queue', {...base, kind: 'fair-early', maxQueue: 0}],
-    ['shed, parking', {...base, kind: 'fair-early', maxQueue: 0, parkedMs: 60}],
   ];
   const rows: (string | number)[][] = [];
   for (const [name, rules] of variants) {
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -12,7 +12,6 @@
 import {CandidateCache, Candidates} from './candidates.js';
 import {Choice, chooseServer} from './choose.js';
 import {ServerLoads} from './loads.js';
-import {ParkingLot} from './parking.js';
 import {RetryBudget, RetryBudgets} from './retry_budget.js';
 
 /** A request as far as attempts are concerned. */
@@ -53,7 +52,6 @@
   readonly tried: Set<BackendServerId>;
   runs: number;
   wasBusy: boolean;
-  isResumed?: boolean;
   last?: Exclude<GuardAnswer, WholeAnswer>;
 }
 
@@ -67,7 +65,6 @@
     private readonly clock: Clock,
     private readonly random: Random,
     readonly budgets = new RetryBudgets(clock),
-    private readonly parking?: ParkingLot,
   ) {
     this.candidates = new CandidateCache(judge, clock);
     this.loads = new ServerLoads(clock);
@@ -93,12 +90,8 @@
         this.random,
       );
       request.onChoice(attempt, candidates, choice);
-      if (!choice) {
-        this.endFlight(request, progress, false);
-        return {kind: 'refused', error: findError(progress)};
-      }
+      if (!choice) return {kind: 'refused', error: findError(progress)};
       const answer = await this.send(request, choice.server);
-      this.endFlight(request, progress, answer.kind === 'answer');
       if (request.signal.aborted) {
         if (answer.kind === 'answer') answer.body.destroy();
         return {kind: 'gone'};
@@ -109,57 +102,19 @@
         return {kind: 'answered', answer, server};
       }
       recordAttempt(progress, choice.server, answer);
-      if (
-        !this.canRetry(request, progress, budget) &&
-        !(await this.waitForPlace(request, progress))
-      ) {
+      if (!this.canRetry(request, progress, budget)) {
         return {kind: 'refused', error: findError(progress)};
       }
     }
   }
 
-  /** Waits at the entry after refusals as busy; true if the request may try again. */
-  private async waitForPlace(
-    request: AttemptRequest,
-    progress: Progress,
-  ): Promise<boolean> {
-    const {service, deadline, signal} = request;
-    const mayPark =
-      this.parking !== undefined &&
-      progress.runs === 0 &&
-      progress.wasBusy &&
-      progress.tried.size < maxAttempts &&
-      request.canRepeat();
-    if (!mayPark) return false;
-    const resumed = await this.parking.waitForPlace(
-      service.id,
-      deadline,
-      signal,
-    );
-    progress.isResumed = resumed;
-    return resumed && !signal.aborted;
-  }
-
-  private endFlight(
-    {service}: AttemptRequest,
-    progress: Progress,
-    wasAnswered: boolean,
-  ): void {
-    if (!progress.isResumed) return;
-    progress.isResumed = false;
-    this.parking?.endFlight(service.id, wasAnswered);
-  }
-
   private async send(
     request: AttemptRequest,
     judged: JudgedServer,
   ): Promise<GuardAnswer> {
     const {server} = judged.known.report;
     const answer = await this.loads.use(server, () => request.send(judged));
-    if ('load' in answer && answer.load) {
-      this.loads.record(server, answer.load);
-      if (answer.load.free > 0) this.parking?.wake(request.service.id);
-    }
+    if ('load' in answer && answer.load) this.loads.record(server, answer.load);
     return answer;
   }
 
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -8,7 +8,6 @@
 export * from './job.js';
 export * from './limits.js';
 export * from './loads.js';
-export * from './parking.js';
 export * from './remote_guard.js';
 export * from './retry_budget.js';
 export * from './route_table.js';
