--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -1,7 +1,12 @@
 import {Gauge, Registry} from 'prom-client';
 import {ViewSources} from './views.js';
 
-const verdicts = ['usable', 'excluded', 'kept-by-floor'] as const;
+const verdicts = [
+  'usable',
+  'excluded',
+  'kept-by-floor',
+  'kept-by-common-cause',
+] as const;
 
 /** Registers what this node sees of the fleet; the series do not grow with services, servers or accounts. */
 export function registerFleetMetrics(
@@ -22,7 +27,12 @@
     labelNames: ['verdict'],
     registers: [registry],
     collect() {
-      const counts = {usable: 0, excluded: 0, 'kept-by-floor': 0};
+      const counts = {
+        usable: 0,
+        excluded: 0,
+        'kept-by-floor': 0,
+        'kept-by-common-cause': 0,
+      };
       const {services} = sources.follower.getConfiguration();
       for (const service of Object.values(services)) {
         for (const {verdict} of sources.judge(service)) {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -29,6 +29,7 @@
 import {ExchangeWatch} from './exchange_watch.js';
 import {HealthTable} from './health_table.js';
 import {checkReachable, isConnectError} from './probe.js';
+import {SlotTables} from './slot_tables.js';
 import {SlotTable, SlotUse} from './slots.js';
 
 /** What the guard needs from the rest of the node. */
@@ -44,14 +45,13 @@
 
 const defaultTimeoutMs: Millis = 5000;
 const defaultStallMs: Millis = 2000;
-const defaultQueue = 16;
 const probeCheckMs: Millis = 1000;
 const overdueCheckMs: Millis = 250;
 
 /** The gate before the backend servers of this VM: counts slots, forwards, observes every answer. */
 export class Guard {
   readonly announcements = new Announcements();
-  private readonly slots = new Map<BackendServerId, SlotTable>();
+  private readonly slots: SlotTables;
   private readonly health: HealthTable;
   private readonly exchanges = new Map<ExchangeWatch, Announcement>();
   private readonly agent: Agent;
@@ -62,6 +62,7 @@
     private readonly logger: Logger,
     localAddress?: string,
   ) {
+    this.slots = new SlotTables(() => context.getConfiguration(), clock);
     this.agent = new Agent({
       connections: 512,
       pipelining: 1,
@@ -101,7 +102,7 @@
       if (known?.phase === 'starting' && taken.right.phase === 'ready') {
         this.health.start(taken.right);
       }
-      this.getSlots(taken.right).setSlots(taken.right.slots);
+      this.slots.apply(taken.right);
       if (known?.phase !== taken.right.phase) this.context.onReportChange();
     }
     return taken;
@@ -112,7 +113,7 @@
     const now = this.clock.getTime();
     for (const gone of this.announcements.removeExpired(now)) {
       this.logger.warn({server: gone.server}, 'backend server gone');
-      this.slots.delete(gone.server);
+      this.slots.remove(gone.server, 'unknown-server');
     }
     return this.announcements.list().map(announcement => {
       const {server, service, pool, incarnation, slots, phase} = announcement;
@@ -132,15 +133,10 @@
   async serve(call: GuardCall): Promise<GuardAnswer> {
     const announcement = this.announcements.get(call.server);
     if (!announcement) return {kind: 'refused', reason: 'unknown-server'};
-    const config = this.context.getConfiguration();
-    if (
-      announcement.phase === 'draining' ||
-      announcement.phase === 'stopped' ||
-      config.retired[call.server]
-    ) {
+    if (this.isLeaving(call.server)) {
       return {kind: 'refused', reason: 'draining'};
     }
-    const slots = this.getSlots(announcement);
+    const slots = this.slots.get(announcement);
     const admitted = await slots.admit(
       call.partner,
       call.deadline,
@@ -149,6 +145,14 @@
     if (E.isLeft(admitted)) {
       return {kind: 'refused', reason: admitted.left, load: slots.getLoad()};
     }
+    // The wait in the queue may have outlived the caller or the server's readiness.
+    if (call.signal.aborted || this.isLeaving(call.server)) {
+      admitted.right.release();
+      return {
+        kind: 'refused',
+        reason: call.signal.aborted ? 'deadline' : 'draining',
+      };
+    }
     return this.forward(call, announcement, admitted.right, slots);
   }
 
@@ -281,16 +285,13 @@
     return this.getService(service)?.rule ?? presets.careful;
   }
 
-  private getSlots(announcement: Announcement): SlotTable {
-    const known = this.slots.get(announcement.server);
-    if (known) return known;
-    const table = new SlotTable(
-      announcement.slots,
-      this.getService(announcement.service)?.queuePerServer ?? defaultQueue,
-      this.clock,
+  private isLeaving(server: BackendServerId): boolean {
+    const phase = this.announcements.get(server)?.phase;
+    return (
+      phase === 'draining' ||
+      phase === 'stopped' ||
+      this.context.getConfiguration().retired[server] !== undefined
     );
-    this.slots.set(announcement.server, table);
-    return table;
   }
 }
 
--- a/test/admin/api.test.ts
+++ b/test/admin/api.test.ts
@@ -74,6 +74,7 @@
         isRetired: server =>
           follower.getConfiguration().retired[server] !== undefined,
         isUnreachable: () => false,
+        isSuspected: () => false,
       }),
     registry,
     logger: openSilentLogger(),
