Add idempotency keys decided in the order of the log

Cause: a caller's retry of a non-idempotent request could run twice.

Change: src/once folds the streams keys-P, appends claims and their ends in groups, reads back before it grants, and is asked over node calls. The entry claims the key of a non-idempotent request before any byte is sent, and records the outcome or the release afterwards. keyed.ts holds the hook.

The holder of a key is the first claim that is neither released nor older than the window, judged over all claims rather than at the position of each, so that a reader that starts one window before the end agrees with one that read everything. A claim decided once and for all at its own position was ruled out: its fate depends on claims of any age.

Only the client that made a claim id releases it. Releases by the arbiter were ruled out: the entry might still use a late grant.

Failed try: the long polls of 32 partitions took all 16 connections of the log client, and appends of the configuration timed out after 1 s. The keys have a log client of their own, with connections for each partition.

--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -20,10 +20,13 @@
 import {createLogClient, LogClient} from '../logservice/index.js';
 import {NodeRecord, PeerLinks, Roster} from '../membership/index.js';
 import {NodeCallClient, NodeCallHandlers} from '../nodecalls/index.js';
+import {KeyArbiter, KeyClient, KeySettings} from '../once/index.js';
 import {Settings} from './settings.js';
 
 const recordPeriodMs: Millis = 500;
 const spreadMs: Millis = 500;
+/** Time an arbiter of keys has beyond one append to the log. */
+const arbiterSlackMs: Millis = 500;
 /** Time for which a node that refused a connection gets no work from this entry. */
 const unreachableMs: Millis = 2000;
 
@@ -32,11 +35,14 @@
   private readonly stopping = new AbortController();
   private readonly roster = new Roster();
   private readonly log: LogClient;
+  private readonly keyLog: LogClient;
   private readonly follower: ConfigFollower;
   private readonly guard: Guard;
   private readonly remotes: RemoteGuards;
   private readonly calls: NodeCallHandlers;
   private readonly callClient: NodeCallClient;
+  private readonly arbiter: KeyArbiter;
+  private readonly keys: KeyClient;
   private readonly entry: Entry;
   private readonly links: PeerLinks;
   private readonly servers: readonly FastifyInstance[];
@@ -57,6 +63,13 @@
       timeoutMs: settings.log.timeout,
       localAddress: address,
     });
+    this.keyLog = createLogClient({
+      url: settings.log.url,
+      timeoutMs: settings.log.timeout,
+      localAddress: address,
+      // One long poll and one append for each partition if this node owns them all, and reads of outcomes.
+      connections: 2 * settings.keys.partitions + 8,
+    });
     this.follower = new ConfigFollower(this.log, clock, logger);
     this.guard = new Guard(
       {
@@ -71,11 +84,14 @@
     this.calls = new NodeCallHandlers(settings.peers.cluster_key);
     this.callClient = new NodeCallClient(settings.peers.cluster_key, address);
     this.remotes = new RemoteGuards(settings.peers.cluster_key, clock, address);
+    this.arbiter = this.buildArbiter();
+    this.keys = this.buildKeyClient();
     this.entry = new Entry(
       {
         node: this.record.node,
         guard: this.guard,
         remotes: this.remotes,
+        keys: this.keys,
         judge: service => this.judge(service),
         onReach: (node, reached) => this.setReached(node, reached),
         isLeaving: () => this.leaving,
@@ -122,6 +138,8 @@
     const {ports, node} = this.settings;
     void this.follower.run(signal);
     void this.links.run(signal);
+    void this.arbiter.run(signal);
+    void this.keys.run(signal);
     void runEvery(this.clock, recordPeriodMs, signal, () =>
       this.publishRecord(),
     );
@@ -144,12 +162,56 @@
       closing,
       this.clock.sleep(this.settings.shutdown.grace),
     ]);
+    await Promise.race([
+      this.keys.waitUntilTried(),
+      this.clock.sleep(this.settings.log.timeout),
+    ]);
     this.stopping.abort();
     await this.callClient.close();
     await this.log.close();
+    await this.keyLog.close();
     this.logger.info('left');
   }
 
+  private listArbiterNodes() {
+    return this.roster.list().filter(({state}) => state === 'serving');
+  }
+
+  private getKeySettings(): KeySettings {
+    const {window, partitions} = this.settings.keys;
+    return {windowMs: window, partitions};
+  }
+
+  private buildArbiter(): KeyArbiter {
+    const arbiter = new KeyArbiter(
+      {
+        ...this.getKeySettings(),
+        node: this.record.node,
+        listNodes: () => this.listArbiterNodes(),
+      },
+      this.keyLog,
+      this.clock,
+      this.logger,
+    );
+    arbiter.registerCalls(this.calls);
+    return arbiter;
+  }
+
+  private buildKeyClient(): KeyClient {
+    return new KeyClient(
+      {
+        ...this.getKeySettings(),
+        node: this.record.node,
+        arbiter: this.arbiter,
+        calls: this.callClient,
+        callMs: this.settings.log.timeout + arbiterSlackMs,
+        listNodes: () => this.listArbiterNodes(),
+      },
+      this.clock,
+      this.logger,
+    );
+  }
+
   private judge(service: Service): readonly JudgedServer[] {
     const now = this.clock.getTime();
     const {retired} = this.follower.getConfiguration();
--- a/src/entry/caller_error.ts
+++ b/src/entry/caller_error.ts
@@ -7,6 +7,8 @@
   | 'unauthorized'
   | 'bad-request'
   | 'key-required'
+  | 'bad-key'
+  | 'key-mismatch'
   | 'over-limit'
   | 'busy'
   | 'no-server'
@@ -30,7 +32,10 @@
       return 401;
     case 'bad-request':
     case 'key-required':
+    case 'bad-key':
       return 400;
+    case 'key-mismatch':
+      return 422;
     case 'over-limit':
       return 429;
     case 'key-in-use':
@@ -59,6 +64,10 @@
       return 'a fescuewheel header is malformed; see the message of the header';
     case 'key-required':
       return 'this route needs an idempotency-key header for non-idempotent requests';
+    case 'bad-key':
+      return 'the idempotency-key header is malformed; send 1 to 255 printable ASCII characters without spaces';
+    case 'key-mismatch':
+      return 'this idempotency key was used with another method, path or body; use a new key for a new request';
     case 'over-limit':
       return 'the limit of this account is reached; wait and send again';
     case 'busy':
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -25,10 +25,12 @@
   watchClose,
 } from '../guard/index.js';
 import {JudgedServer} from '../health/index.js';
+import {HeldKey, KeyClient} from '../once/index.js';
 import {AccountTable} from './accounts.js';
 import {readBody, RequestBody} from './body.js';
 import {CallerError, writeCallerError} from './caller_error.js';
 import {chooseServer} from './choose.js';
+import {forwardBody, KeyGate} from './keyed.js';
 import {RemoteGuards} from './remote_guard.js';
 import {RetryBudget} from './retry_budget.js';
 import {RouteTable} from './route_table.js';
@@ -38,6 +40,7 @@
   readonly node: NodeId;
   readonly guard: Guard;
   readonly remotes: RemoteGuards;
+  readonly keys: Pick<KeyClient, 'claim'>;
   /** Backend servers of a service with the verdict of the exclusion rule. */
   judge(service: Service): readonly JudgedServer[];
   /** Called when the node of a server cannot be reached, or was reached again. */
@@ -59,6 +62,8 @@
   readonly deadline: Millis;
   readonly body: RequestBody;
   readonly signal: AbortSignal;
+  /** Set if this request has an idempotency key; it may be sent because it holds the key. */
+  readonly held?: HeldKey;
 }
 
 /** Takes callers' requests and leads each to one backend server. */
@@ -67,6 +72,7 @@
   private routes: RouteTable;
   private accounts: AccountTable;
   private readonly budget: RetryBudget;
+  private readonly keyGate: KeyGate;
   private readonly loads = new Map<BackendServerId, SlotLoad>();
   private readonly inFlight = new Map<BackendServerId, number>();
   private sequence = 0;
@@ -81,6 +87,7 @@
     this.routes = new RouteTable(config);
     this.accounts = new AccountTable(config);
     this.budget = new RetryBudget(clock);
+    this.keyGate = new KeyGate(context.keys, clock, logger);
     this.app = buildStreamServer((request, response) =>
       this.handle(request, response),
     );
@@ -115,7 +122,7 @@
     if (timeoutMs === undefined)
       return refuse({kind: 'bad-request', ran: 'no'});
 
-    await this.run({
+    const job: Job = {
       requestId,
       request,
       response,
@@ -125,7 +132,11 @@
       deadline: this.clock.getTime() + timeoutMs,
       body: hasBody(request) ? await readBody(request) : {kind: 'none'},
       signal: watchClose(response),
-    });
+    };
+    const admission = isIdempotent(job)
+      ? {}
+      : await this.keyGate.admit(job, account.id);
+    if (admission !== 'answered') await this.run({...job, ...admission});
   }
 
   private async run(job: Job): Promise<void> {
@@ -229,7 +240,8 @@
       ...answer.headers,
       'fescuewheel-request-id': job.requestId,
     });
-    pipeline(answer.body, job.response, error => {
+    const body = job.held ? forwardBody(answer, job.held) : answer.body;
+    pipeline(body, job.response, error => {
       this.logger.info(
         {
           requestId: job.requestId,
@@ -246,6 +258,7 @@
 
   private refuse(job: Job, error: CallerError): void {
     this.logger.info({requestId: job.requestId, ...error}, 'not answered');
+    if (error.ran === 'no') job.held?.release();
     if (!job.response.destroyed) {
       writeCallerError(job.response, job.requestId, error);
     }
--- a/src/logservice/client.ts
+++ b/src/logservice/client.ts
@@ -39,6 +39,8 @@
   readonly timeoutMs: Millis;
   /** Local IP address to connect from. */
   readonly localAddress?: string;
+  /** Most connections at once; each long poll holds one. 16 by default. */
+  readonly connections?: number;
 }
 
 /** Access to streams of the platform's log service. */
@@ -62,7 +64,7 @@
 /** Creates the HTTP client of the log service. */
 export function createLogClient(options: LogClientOptions): LogClient {
   const agent = new Agent({
-    connections: 16,
+    connections: options.connections ?? 16,
     keepAliveTimeout: 30_000,
     connect: {
       timeout: options.timeoutMs,
--- /dev/null
+++ b/src/once/partition.ts
@@ -0,0 +1,258 @@
+import {
+  Clock,
+  describeError,
+  LogUnavailableError,
+  Logger,
+  Millis,
+} from '../base/index.js';
+import {LogClient} from '../logservice/index.js';
+import {AppendBatcher, BatchOptions} from './batcher.js';
+import {KeyReader} from './key_reader.js';
+import {KeyVerdict} from './key_table.js';
+import {ClaimEnd, KeyOutcome, keyRecordCodec} from './record.js';
+
+const longPollMs: Millis = 10_000;
+const retryMs: Millis = 250;
+// A stream whose newest record is older than the window cannot be told from one that lost records.
+const marksPerWindow = 8;
+
+/** A request for a key, by the entry that made the claim id. */
+export interface ClaimRequest {
+  readonly key: string;
+  readonly claim: string;
+  readonly print: string;
+  /** The entry waits no longer than this for the decision. */
+  readonly waitMs: Millis;
+}
+
+/**
+ * Decision on a claim. Only `granted` permits the request. `appended` tells that the claim may be in the log, so
+ * that its client has to release it unless it was granted.
+ */
+export type ClaimAnswer = (
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'answered'; readonly outcome: KeyOutcome}
+  | {readonly kind: 'pending'}
+  | {readonly kind: 'mismatch'}
+  | {readonly kind: 'undecided'; readonly reason: string}
+) & {readonly appended: boolean};
+
+/** How a partition is kept. */
+export interface PartitionOptions {
+  readonly stream: string;
+  readonly windowMs: Millis;
+  readonly batch: BatchOptions;
+}
+
+interface Waiter {
+  readonly request: ClaimRequest;
+  readonly deadline: Millis;
+  readonly finish: (verdict: KeyVerdict) => void;
+}
+
+const late: KeyVerdict = {
+  kind: 'undecided',
+  reason: 'the log did not answer in time',
+};
+
+/** Follows one stream `keys-P` and decides claims on its keys. */
+export class KeyPartition {
+  private readonly reader: KeyReader;
+  private readonly batcher: AppendBatcher;
+  private readonly waiters = new Map<string, Waiter>();
+  /** Whether the fold reached the end of the stream and has not lost it since. */
+  private isWhole = false;
+  private state: 'reading' | 'ready' | 'failing' = 'reading';
+  private stateChange = new AbortController();
+  /** When a record that had just been appended was last seen. */
+  private seenAt = -Infinity;
+  private markedAt = -Infinity;
+  private recheck: Promise<void> | undefined;
+
+  constructor(
+    private readonly options: PartitionOptions,
+    private readonly log: LogClient,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    const {stream, windowMs, batch} = options;
+    this.reader = new KeyReader(stream, log, windowMs);
+    this.batcher = new AppendBatcher(stream, log, batch, clock);
+  }
+
+  /** Follows the stream until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.readOnce(this.state === 'ready' ? longPollMs : 0, signal);
+      } catch (error) {
+        if (signal.aborted) return;
+        this.setState('failing');
+        this.logger.warn(
+          {stream: this.options.stream, error: describeError(error)},
+          'key log not read',
+        );
+        await this.clock.sleep(retryMs, signal);
+      }
+    }
+  }
+
+  /** Appends a claim, reads it back and decides it; answers at once if the key is known to be held. */
+  async claim(request: ClaimRequest): Promise<ClaimAnswer> {
+    const deadline = this.clock.getTime() + request.waitMs;
+    await this.waitUntilRead(deadline);
+    const known = this.judgeKnown(request);
+    if (known) return this.answer(known, false);
+    if (this.state !== 'ready') {
+      const reason = 'the log cannot be read, or not yet';
+      return {kind: 'undecided', reason, appended: false};
+    }
+    return this.answer(await this.appendClaim(request, deadline), true);
+  }
+
+  /** Resolves when the end of a claim is in the log; a LogUnavailableError leaves open whether it is. */
+  record(end: ClaimEnd): Promise<void> {
+    // A release lets the key be claimed again, a caller may wait for that.
+    return this.batcher.append(end, end.kind === 'release');
+  }
+
+  /** Appends a mark if the stream was quiet for long. */
+  async appendMarkIfQuiet(): Promise<void> {
+    const now = this.clock.getTime();
+    const quietMs = now - Math.max(this.seenAt, this.markedAt);
+    if (this.state !== 'ready') return;
+    if (quietMs < this.options.windowMs / marksPerWindow) return;
+    this.markedAt = now;
+    await this.appendMark(false);
+  }
+
+  /** Figures for logs and measurements. */
+  getStats() {
+    const table = this.reader.getTable();
+    return {
+      state: this.state,
+      keys: table.countKeys(),
+      badRecords: table.countBadRecords(),
+    };
+  }
+
+  private async readOnce(waitMs: Millis, signal?: AbortSignal): Promise<void> {
+    const page = await this.reader.readPage(waitMs, signal);
+    const {whole, fresh, claims, lost} = page;
+    // Records read on the way to the end of the stream may be old.
+    if (this.state === 'ready' && fresh > 0) this.seenAt = this.clock.getTime();
+    for (const claim of claims) this.judgeWaiter(claim);
+    if (lost) {
+      this.logger.error(
+        {stream: this.options.stream},
+        'key log lost records; keys are refused for one window',
+      );
+      await this.appendMark(true);
+    }
+    this.isWhole = whole;
+    this.setState(whole ? 'ready' : 'reading');
+  }
+
+  private async appendMark(gap: boolean): Promise<void> {
+    await this.batcher
+      .append({kind: 'mark', gap}, gap)
+      .catch(error =>
+        this.logger.warn({error: describeError(error)}, 'mark not appended'),
+      );
+  }
+
+  private setState(state: 'reading' | 'ready' | 'failing'): void {
+    if (state === this.state) return;
+    this.state = state;
+    this.stateChange.abort();
+    this.stateChange = new AbortController();
+  }
+
+  private async waitUntilRead(deadline: Millis): Promise<void> {
+    while (this.state === 'reading') {
+      const wait = deadline - this.clock.getTime();
+      if (wait <= 0) return;
+      await this.clock.sleep(wait, this.stateChange.signal);
+    }
+  }
+
+  private judgeKnown({key, print}: ClaimRequest): KeyVerdict | undefined {
+    // A fold that is not at the end may miss the release of a claim that it has.
+    if (!this.isWhole) return undefined;
+    const table = this.reader.getTable();
+    // Time of the log cannot have passed faster than ours since its newest record was seen here.
+    const quietMs = this.clock.getTime() - this.seenAt;
+    return table.judgeKey(key, print, table.getTime() + quietMs);
+  }
+
+  private appendClaim(
+    request: ClaimRequest,
+    deadline: Millis,
+  ): Promise<KeyVerdict> {
+    const {key, claim, print} = request;
+    return new Promise(resolve => {
+      const done = new AbortController();
+      const endWait = (verdict: KeyVerdict) => {
+        this.waiters.delete(claim);
+        done.abort();
+        resolve(verdict);
+      };
+      this.waiters.set(claim, {request, deadline, finish: endWait});
+      void this.clock
+        .sleep(deadline - this.clock.getTime(), done.signal)
+        .then(() => endWait(late));
+      this.batcher
+        .append({kind: 'claim', key, claim, print}, true)
+        .catch(error => this.findAppended(claim, error));
+    });
+  }
+
+  /** After a failed append, looks once whether the claim reached the log. */
+  private async findAppended(claim: string, error: unknown): Promise<void> {
+    this.recheck ??= this.readOnce(0)
+      .catch(() => undefined)
+      .finally(() => {
+        this.recheck = undefined;
+      });
+    await this.recheck;
+    const reason = `the claim was not recorded: ${describeError(error)}`;
+    this.waiters.get(claim)?.finish({kind: 'undecided', reason});
+  }
+
+  private judgeWaiter(claim: string): void {
+    const waiter = this.waiters.get(claim);
+    if (!waiter) return;
+    const {key, print} = waiter.request;
+    // After a pause of this process the entry has given the claim up.
+    const inTime = this.clock.getTime() < waiter.deadline;
+    waiter.finish(
+      inTime ? this.reader.getTable().judgeClaim(key, claim, print) : late,
+    );
+  }
+
+  private async answer(
+    verdict: KeyVerdict,
+    appended: boolean,
+  ): Promise<ClaimAnswer> {
+    if (verdict.kind !== 'answered') return {...verdict, appended};
+    try {
+      const outcome = await this.readOutcome(verdict.offset);
+      return {kind: 'answered', outcome, appended};
+    } catch (error) {
+      this.logger.warn({error: describeError(error)}, 'outcome not read');
+      return {kind: 'pending', appended};
+    }
+  }
+
+  private async readOutcome(offset: number): Promise<KeyOutcome> {
+    const page = await this.log.read(this.options.stream, offset, 1);
+    const record = page.records[0];
+    const value = record?.offset === offset ? record.value : undefined;
+    if (keyRecordCodec.is(value) && value.kind === 'complete') {
+      return value.outcome;
+    }
+    throw new LogUnavailableError(
+      `stream ${this.options.stream} no longer holds the outcome at offset ${offset}; check the log's retention`,
+    );
+  }
+}
