Prove that a key is granted once under interleaved faults

Change: tests over an in-memory log with lost replies, outages, delays and retention, with two and three arbiters, on the manual clock; fast-check interleavings with a fixed seed. The manual clock forgets the listeners of sleeps that are over; each kept listener made Node.js warn of a leak.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -54,9 +54,14 @@
         resolve();
         return;
       }
-      const sleeper = {at: this.time + duration, resolve};
+      const end = () => {
+        signal?.removeEventListener('abort', end);
+        this.sleepers = this.sleepers.filter(other => other !== sleeper);
+        resolve();
+      };
+      const sleeper = {at: this.time + duration, resolve: end};
       this.sleepers = [...this.sleepers, sleeper];
-      signal?.addEventListener('abort', () => resolve(), {once: true});
+      signal?.addEventListener('abort', end);
     });
   }
 
@@ -69,7 +74,6 @@
         .sort((a, b) => a.at - b.at)[0];
       if (!due) break;
       this.time = due.at;
-      this.sleepers = this.sleepers.filter(sleeper => sleeper !== due);
       due.resolve();
       await new Promise(resolve => setImmediate(resolve));
     }
--- a/src/once/arbiter.ts
+++ b/src/once/arbiter.ts
@@ -97,7 +97,7 @@
   ) {}
 
   /** Lets other nodes ask this arbiter. */
-  registerCalls(handlers: NodeCallHandlers): void {
+  registerCalls(handlers: Pick<NodeCallHandlers, 'register'>): void {
     handlers.register(keyCalls.claim, async body =>
       this.claim(decodeCall(claimRequestCodec, body)),
     );
--- /dev/null
+++ b/test/once/interleavings.test.ts
@@ -0,0 +1,201 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {HeldKey} from '../../src/once/index.js';
+import {windowMs, World} from './world.js';
+
+const keys = ['a', 'b'];
+const nodeIds = ['n0', 'n1', 'n2'];
+const outcome = {status: 201, contentType: '', body: ''};
+
+const node = fc.nat({max: nodeIds.length - 1});
+const step = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('claim' as const),
+      node,
+      key: fc.constantFrom(...keys),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('release' as const, 'complete' as const),
+      pick: fc.nat(),
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('pass' as const),
+      ms: fc.constantFrom(1, 7, 30, 400, 2000),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('pass' as const),
+      ms: fc.constant(windowMs / 2),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({kind: fc.constant('crash' as const), node}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('answer' as const),
+      node,
+      ms: fc.constantFrom(0, 0, 1000, 5000),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('roster' as const),
+      node,
+      list: fc.subarray(nodeIds, {minLength: 1}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('lose' as const),
+      count: fc.nat({max: 2}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('down' as const),
+      down: fc.constantFrom(true, false, false),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('delay' as const),
+      ms: fc.constantFrom(0, 0, 5, 20, 200, 1500),
+    }),
+  },
+);
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+interface Grant {
+  readonly key: string;
+  readonly node: number;
+  readonly life: object;
+  readonly startedAt: number;
+  readonly held: HeldKey;
+  ended: boolean;
+  released: boolean;
+}
+
+/** Runs steps against real arbiters and clients, and checks each grant as it is made. */
+class Run {
+  readonly world = new World(nodeIds.length);
+  readonly grants: Grant[] = [];
+  readonly faults: string[] = [];
+  private readonly lives = nodeIds.map(() => ({}));
+  private readonly pending = new Set<Promise<void>>();
+
+  claim(index: number, key: string): void {
+    const life = this.lives[index];
+    const startedAt = this.world.clock.getTime();
+    const decided = this.world.claim(index, key).then(decision => {
+      // A node that was replaced uses nothing that its earlier life asked for.
+      if (decision.kind !== 'held' || life !== this.lives[index]) return;
+      this.checkGrant(key);
+      const {held} = decision;
+      const open = {ended: false, released: false};
+      this.grants.push({key, node: index, life, startedAt, held, ...open});
+    });
+    this.pending.add(decided);
+  }
+
+  async apply(step: Step): Promise<void> {
+    const {world} = this;
+    switch (step.kind) {
+      case 'claim':
+        return this.claim(step.node, step.key);
+      case 'release':
+      case 'complete':
+        return this.endGrant(step.kind, step.pick);
+      case 'pass':
+        return world.clock.advance(step.ms);
+      case 'crash':
+        this.lives[step.node] = {};
+        return world.replace(step.node);
+      case 'answer':
+        world.nodes[step.node].answerMs = step.ms;
+        return;
+      case 'roster':
+        world.rosters[step.node] = [...step.list];
+        return;
+      case 'lose':
+        world.log.loseReplies = step.count;
+        return;
+      case 'down':
+        world.log.down = step.down;
+        return;
+      case 'delay':
+        world.log.delayMs = step.ms;
+    }
+  }
+
+  async endFaults(): Promise<void> {
+    const {world} = this;
+    Object.assign(world.log, {down: false, delayMs: 0, loseReplies: 0});
+    world.rosters = nodeIds.map(() => nodeIds);
+    for (const each of world.nodes) each.answerMs = 0;
+    await world.clock.advance(30_000);
+    await Promise.all(this.pending);
+  }
+
+  private checkGrant(key: string): void {
+    const now = this.world.clock.getTime();
+    for (const grant of this.grants) {
+      if (grant.key !== key || grant.released) continue;
+      if (now - grant.startedAt >= windowMs) continue;
+      this.faults.push(`two grants of ${key} without a release`);
+    }
+  }
+
+  private endGrant(kind: 'release' | 'complete', pick: number): void {
+    const open = this.grants.filter(
+      grant => !grant.ended && grant.life === this.lives[grant.node],
+    );
+    if (open.length === 0) return;
+    const grant = open[pick % open.length];
+    grant.ended = true;
+    grant.released = kind === 'release';
+    if (grant.released) grant.held.release();
+    else grant.held.recordOutcome(outcome);
+  }
+}
+
+// Guards against any interleaving of claims, releases, crashes, ownership changes and log faults that lets two
+// requests of one key go out: keys in the memory of one arbiter, grants before the read-back, or releases by an
+// arbiter all fail it. Afterwards fresh keys can be claimed through every node.
+test('a key is granted at most once without a release', async t => {
+  let granted = 0;
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(step, {minLength: 30, maxLength: 90}),
+      async steps => {
+        const run = new Run();
+        await run.world.clock.advance(100);
+        for (const each of steps) await run.apply(each);
+        await run.endFaults();
+        t.deepEqual(run.faults, []);
+        granted += run.grants.length;
+        for (const index of nodeIds.keys()) {
+          t.is(await run.world.claimKind(index, `fresh-${index}`), 'held');
+        }
+      },
+    ),
+    {seed: 20260, numRuns: 120},
+  );
+  t.true(granted > 200);
+});
--- /dev/null
+++ b/test/once/keys.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava';
+import {asId} from '../../src/base/index.js';
+import {
+  KeyTable,
+  makeKeyId,
+  makeRequestPrint,
+  RequestPrint,
+} from '../../src/once/index.js';
+import {print, windowMs, World} from './world.js';
+
+const outcome = {status: 201, contentType: 'text/plain', body: 'b2s='};
+const stream = 'keys-0';
+
+// Guards against keys kept in the memory of one node: the retry goes through another node, the first is replaced,
+// and so is the arbiter.
+test('a retry through another node finds the outcome after replacements', async t => {
+  const world = new World(3);
+  const held = await world.claimHeld(0, 'k');
+  t.is(await world.claimKind(1, 'k'), 'pending');
+  held.recordOutcome(outcome);
+  await world.clock.advance(1000);
+  for (const index of [0, 1, 2]) world.replace(index);
+  const decision = await world.wait(world.claim(2, 'k'));
+  t.like(decision, {kind: 'answered', outcome});
+});
+
+// Guards against an arbiter that decides by its memory alone: both grant a key that the other has granted.
+test('two arbiters at once grant a key once', async t => {
+  const world = new World(2);
+  world.rosters = [['n0'], ['n1']];
+  world.log.delayMs = 20;
+  const both = [world.claim(0, 'k'), world.claim(1, 'k')];
+  const kinds = (await world.wait(Promise.all(both))).map(d => d.kind);
+  t.deepEqual(kinds.sort(), ['held', 'pending']);
+});
+
+// Guards against taking a lost reply for a claim that was not recorded: the key would be stuck for the window.
+test('a claim whose append lost its reply is found by its id', async t => {
+  const world = new World(2);
+  await world.claimHeld(0, 'first');
+  world.log.loseReplies = 1;
+  t.is(await world.claimKind(1, 'k'), 'held');
+});
+
+// Guards against a key that stays taken by a claim that its entry gave up, and against using the late grant: the
+// arbiter is paused between the append and its answer, or the log is slower than the entry waits.
+test('a claim given up is released and never used', async t => {
+  const world = new World(1);
+  await world.claimHeld(0, 'first');
+  world.log.delayMs = 3000;
+  t.is(await world.claimKind(0, 'k'), 'undecided');
+  world.log.delayMs = 0;
+  await world.clock.advance(10_000);
+  t.is(await world.claimKind(0, 'k'), 'held');
+
+  const paused = new World(2);
+  const owner = paused.findOwner(stream);
+  paused.nodes[owner].answerMs = 60_000;
+  t.is(await paused.claimKind(1 - owner, 'k'), 'held');
+  const claims = paused.log
+    .listRecords(stream)
+    .filter(r => (r.value as {kind: string}).kind === 'claim');
+  t.is(claims.length, 2);
+});
+
+// Guards against a release that overtakes the delayed append of its claim and then frees nothing.
+test('a release read before its claim voids the claim', t => {
+  const table = new KeyTable(windowMs, -Infinity);
+  const apply = (offset: number, value: unknown) =>
+    table.apply({offset, atMs: offset, value});
+  apply(0, {kind: 'release', key: 'k', claim: 'a'});
+  apply(1, {kind: 'claim', key: 'k', claim: 'a', print: 'p'});
+  apply(2, {kind: 'claim', key: 'k', claim: 'b', print: 'p'});
+  t.is(table.judgeClaim('k', 'b', 'p').kind, 'granted');
+});
+
+// Guards against an arbiter that trusts its memory while the log cannot be written: unrecorded grants are lost
+// with the node, and the retry runs again.
+test('no key is granted while the log is down', async t => {
+  const world = new World(2);
+  await world.claimHeld(0, 'first');
+  world.log.down = true;
+  t.is(await world.claimKind(0, 'k'), 'undecided');
+  await world.clock.advance(20_000);
+  t.is(await world.claimKind(1, 'k'), 'undecided');
+  world.log.down = false;
+  await world.clock.advance(2000);
+  t.is(await world.claimKind(0, 'k'), 'held');
+});
+
+// Guards against a node that wakes after a long pause and uses a grant that is no longer its own.
+test('a grant that arrives past its deadline is not used', async t => {
+  const world = new World(1);
+  await world.claimHeld(0, 'first');
+  world.log.delayMs = 300;
+  const decision = await world.wait(world.claim(0, 'k', 350));
+  t.is(decision.kind, 'undecided');
+  world.log.delayMs = 0;
+  await world.clock.advance(5000);
+  const held = await world.claimHeld(0, 'k');
+  t.true(held.usableUntil <= world.clock.getTime() + windowMs / 2);
+});
+
+// Guards against deciding keys from a log that lost claims of the window: the retry would run again.
+test('keys are refused until the retained records cover the window', async t => {
+  const world = new World(1);
+  (await world.claimHeld(0, 'k')).recordOutcome(outcome);
+  await world.clock.advance(60_000);
+  await world.claimHeld(0, 'other');
+  world.log.removeBefore(stream, world.clock.getTime() - 30_000);
+  world.replace(0);
+  t.is(await world.claimKind(0, 'k'), 'undecided');
+  await world.clock.advance(windowMs);
+  t.is(await world.claimKind(0, 'k'), 'held');
+});
+
+// Guards against a service that refuses keys after a quiet night because the log holds no recent record.
+test('a quiet stream within the retention stays decidable', async t => {
+  const world = new World(1);
+  await world.claimHeld(0, 'k');
+  await world.clock.advance(5 * windowMs);
+  world.log.removeBefore(stream, world.clock.getTime() - 2 * windowMs);
+  world.replace(0);
+  t.is(await world.claimKind(0, 'k'), 'held');
+});
+
+// Guards against a reader that starts in the middle of the stream and sees other holders than one that read all.
+test('a late reader skips old records and agrees on the holder', async t => {
+  const world = new World(1);
+  const values = Array.from({length: 6000}, (_, i) => {
+    const claim = `c${i}`;
+    return {kind: 'claim', key: `k${i}`, claim, print};
+  });
+  await world.log.append(stream, values);
+  await world.clock.advance(2 * windowMs);
+  await world.claimHeld(0, 'k5000');
+  world.replace(0);
+  t.is(await world.claimKind(0, 'k5000'), 'pending');
+  t.true(world.nodes[0].arbiter.listStats()[0].keys < 3000);
+});
+
+// Guards against a bad record that stops the reader, and against running another request under a known key.
+test('bad records are counted, another request with the key is refused', async t => {
+  const world = new World(1);
+  await world.log.append(stream, [null, {kind: 'claim', key: 7}, 'x']);
+  await world.claimHeld(0, 'k');
+  const other = asId<RequestPrint>('other');
+  t.is((await world.wait(world.claim(0, 'k', 4000, other))).kind, 'mismatch');
+  t.is(world.nodes[0].arbiter.listStats()[0].badRecords, 3);
+});
+
+// Guards against one append for each record: 390 keyed requests/s would need 780 appends/s.
+test('records are appended in groups', async t => {
+  const world = new World(1);
+  await world.claimHeld(0, 'first');
+  const before = world.log.appends;
+  const claims = Array.from({length: 50}, (_, i) => world.claim(0, `k${i}`));
+  for (const decision of await world.wait(Promise.all(claims))) {
+    if (decision.kind === 'held') decision.held.recordOutcome(outcome);
+  }
+  await world.clock.advance(2000);
+  t.true(world.log.appends - before <= 4);
+  t.is(await world.claimKind(0, 'k49'), 'answered');
+});
+
+// Guards against keys of one account or service that meet those of another.
+test('a key is scoped by account and service', t => {
+  const make = (account: string, service: string) =>
+    makeKeyId(asId(account), asId(service), 'key');
+  t.not(make('a', 's'), make('b', 's'));
+  t.not(make('a', 's'), make('a', 't'));
+  t.not(make('as', 't'), make('a', 'st'));
+  const body = Buffer.from('1');
+  t.not(
+    makeRequestPrint('POST', '/a', body),
+    makeRequestPrint('POST', '/a', Buffer.from('2')),
+  );
+});
