--- a/src/nodecalls/node_calls.ts
+++ b/src/nodecalls/node_calls.ts
@@ -98,7 +98,7 @@
           'content-type': 'application/vnd.msgpack',
         },
         body: bytes,
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: AbortSignal.timeout(Math.max(1, Math.round(timeoutMs))),
       });
       status = answer.statusCode;
       value = unpack(Buffer.from(await answer.body.arrayBuffer()));
--- a/src/once/key_table.ts
+++ b/src/once/key_table.ts
@@ -17,7 +17,7 @@
 export type KeyVerdict =
   | {readonly kind: 'granted'}
   | {readonly kind: 'answered'; readonly offset: number}
-  | {readonly kind: 'pending'}
+  | {readonly kind: 'pending'; readonly claim: string}
   | {readonly kind: 'mismatch'}
   | {readonly kind: 'undecided'; readonly reason: string};
 
@@ -189,5 +189,5 @@
   if (holder.print !== print) return {kind: 'mismatch'};
   return holder.outcomeOffset >= 0
     ? {kind: 'answered', offset: holder.outcomeOffset}
-    : {kind: 'pending'};
+    : {kind: 'pending', claim: holder.claim};
 }
--- a/src/once/partition.ts
+++ b/src/once/partition.ts
@@ -67,6 +67,8 @@
   /** When a record that had just been appended was last seen. */
   private seenAt = -Infinity;
   private markedAt = -Infinity;
+  /** Outcomes on their way to the log; a replay of one runs nothing, so it need not wait. */
+  private readonly outcomes = new Map<string, KeyOutcome>();
   private recheck: Promise<void> | undefined;
 
   constructor(
@@ -111,9 +113,14 @@
   }
 
   /** Resolves when the end of a claim is in the log; a LogUnavailableError leaves open whether it is. */
-  record(end: ClaimEnd): Promise<void> {
-    // A release lets the key be claimed again, a caller may wait for that.
-    return this.batcher.append(end, end.kind === 'release');
+  async record(end: ClaimEnd): Promise<void> {
+    if (end.kind === 'complete') this.outcomes.set(end.claim, end.outcome);
+    try {
+      // A release lets the key be claimed again, a caller may wait for that.
+      await this.batcher.append(end, end.kind === 'release');
+    } finally {
+      this.outcomes.delete(end.claim);
+    }
   }
 
   /** Appends a mark if the stream was quiet for long. */
@@ -234,6 +241,12 @@
     verdict: KeyVerdict,
     appended: boolean,
   ): Promise<ClaimAnswer> {
+    if (verdict.kind === 'pending') {
+      const outcome = this.outcomes.get(verdict.claim);
+      return outcome
+        ? {kind: 'answered', outcome, appended}
+        : {kind: 'pending', appended};
+    }
     if (verdict.kind !== 'answered') return {...verdict, appended};
     try {
       const outcome = await this.readOutcome(verdict.offset);
--- a/test/nodecalls/node_calls.test.ts
+++ b/test/nodecalls/node_calls.test.ts
@@ -18,7 +18,7 @@
   const callee = await openCallee('right-key');
   const member = new NodeCallClient('right-key');
   const stranger = new NodeCallClient('wrong-key');
-  t.is(await member.call(callee.address, 'double', 21, 1000), 42);
+  t.is(await member.call(callee.address, 'double', 21, 1000.5), 42);
   await t.throwsAsync(stranger.call(callee.address, 'double', 21, 1000), {
     message: /cluster key/,
   });
