Measure keys: claim latency, appends, memory, read back

Cause: keys at 390 requests/s must fit several hundred appends/s and the memory of a node.

Change: src/bench/keys.ts prints the figures. A claim in memory keeps a 32-bit hash of the request's print and a whole number for its age.

Ruled out: a longer gap between appends. By computation 100 ms would give 258 appends/s and up to 100 ms more for a claim. Fewer partitions would save appends too, at as many times the memory of an arbiter.

--- /dev/null
+++ b/src/bench/keys.ts
@@ -0,0 +1,259 @@
+import {setMaxListeners} from 'node:events';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {request} from 'undici';
+import {
+  asId,
+  Millis,
+  NodeId,
+  openSilentLogger,
+  systemClock,
+} from '../base/index.js';
+import {createLogClient, LogClient} from '../logservice/index.js';
+import {
+  BatchOptions,
+  defaultBatch,
+  KeyArbiter,
+  KeyClient,
+  KeyReader,
+  KeyTable,
+  makeClaimId,
+  makeKeyId,
+  makeRequestPrint,
+} from '../once/index.js';
+import {RunningProcess, startProcess} from '../testing/index.js';
+
+// Prints the figures of docs/keys.md. Node calls are made in the process, so no figure has the hop to an arbiter.
+
+const windowMs: Millis = 7_200_000;
+const partitions = 32;
+/** 1% of the 39,000 requests/s of docs/design.md, section 1.4. */
+const ratePerSecond = 390;
+const warmUpMs: Millis = 2000;
+const loadMs: Millis = 10_000;
+const unbatched: BatchOptions = {gapMs: 0, lingerMs: 0, maxRecords: 1};
+const outcome = {
+  status: 201,
+  contentType: 'application/json',
+  body: Buffer.from('x'.repeat(200)).toString('base64'),
+};
+const print = makeRequestPrint('POST', '/log', Buffer.from('passed'));
+
+interface LogProcess {
+  readonly url: string;
+  readonly process: RunningProcess;
+}
+
+async function startLog(): Promise<LogProcess> {
+  const child = startProcess('standins/main.js', ['log']);
+  const line = await child.waitForLine(text => text.includes('"listening"'));
+  const {listening} = JSON.parse(line) as {listening: number};
+  return {url: `http://127.0.0.1:${listening}`, process: child};
+}
+
+async function setDelay(log: LogProcess, delayMs: Millis): Promise<void> {
+  const answer = await request(`${log.url}/faults`, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify({delayMs}),
+  });
+  await answer.body.dump();
+}
+
+async function countAppends(log: LogProcess): Promise<number> {
+  const answer = await request(`${log.url}/stats`);
+  return ((await answer.body.json()) as {appends: number}).appends;
+}
+
+function createLog(url: string): LogClient {
+  return createLogClient({url, timeoutMs: 2000, connections: 128});
+}
+
+interface Fleet {
+  readonly clients: readonly KeyClient[];
+  stop(): Promise<void>;
+}
+
+function startFleet(url: string, count: number, batch: BatchOptions): Fleet {
+  const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
+  const logger = openSilentLogger();
+  const nodes = Array.from({length: count}, (_, i) => ({
+    node: asId<NodeId>(`n${i}`),
+    dataAddress: `n${i}`,
+  }));
+  const logs = nodes.map(() => createLog(url));
+  const all = new Map<string, KeyArbiter>();
+  const clients = nodes.map(({node}, i) => {
+    const settings = {node, windowMs, partitions, listNodes: () => nodes};
+    const arbiter = new KeyArbiter(
+      {...settings, batch},
+      logs[i],
+      systemClock,
+      logger,
+    );
+    all.set(node, arbiter);
+    void arbiter.run(stop.signal);
+    const call = async (address: string, name: string, body: unknown) => {
+      const target = all.get(address)!;
+      if (name === 'keys-claim') return target.claim(body as never);
+      await target.record(body as never);
+      return {recorded: true, reason: ''};
+    };
+    const context = {...settings, arbiter, calls: {call}, callMs: 2500};
+    const client = new KeyClient(context, systemClock, logger);
+    void client.run(stop.signal);
+    return client;
+  });
+  return {
+    clients,
+    stop: async () => {
+      stop.abort();
+      await Promise.all(logs.map(log => log.close()));
+    },
+  };
+}
+
+function pickQuantile(values: readonly number[], share: number): string {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.min(sorted.length - 1, Math.floor(sorted.length * share));
+  return `${(sorted[index] ?? NaN).toFixed(1)} ms`;
+}
+
+async function runRequest(client: KeyClient): Promise<Millis> {
+  const startedAt = systemClock.getTime();
+  const key = makeKeyId(asId('crew'), asId('bench-log'), makeClaimId());
+  const decision = await client.claim(key, print, startedAt + 5000);
+  if (decision.kind !== 'held') throw new Error(`got ${decision.kind}`);
+  const tookMs = systemClock.getTime() - startedAt;
+  decision.held.recordOutcome(outcome);
+  return tookMs;
+}
+
+async function runLoad(fleet: Fleet, lengthMs: Millis): Promise<Millis[]> {
+  const startedAt = systemClock.getTime();
+  const started: Promise<Millis>[] = [];
+  for (;;) {
+    const passed = systemClock.getTime() - startedAt;
+    if (passed >= lengthMs) return Promise.all(started);
+    while (started.length < (passed / 1000) * ratePerSecond) {
+      const client = fleet.clients[started.length % fleet.clients.length];
+      started.push(runRequest(client));
+    }
+    await systemClock.sleep(2);
+  }
+}
+
+async function measureQuiet(delayMs: Millis): Promise<void> {
+  const log = await startLog();
+  const fleet = startFleet(log.url, 1, defaultBatch);
+  await runRequest(fleet.clients[0]);
+  await setDelay(log, delayMs);
+  await systemClock.sleep(warmUpMs);
+  const times: Millis[] = [];
+  for (let i = 0; i < 200; i += 1) {
+    times.push(await runRequest(fleet.clients[0]));
+  }
+  console.log(
+    `claims one by one, log delay ${delayMs} ms: p50 ${pickQuantile(times, 0.5)}, p99 ${pickQuantile(times, 0.99)}`,
+  );
+  await fleet.stop();
+  log.process.kill('SIGKILL');
+}
+
+async function measureLoad(
+  name: string,
+  batch: BatchOptions,
+  delayMs: Millis,
+  arbiters: number,
+): Promise<void> {
+  const log = await startLog();
+  await setDelay(log, delayMs);
+  const fleet = startFleet(log.url, arbiters, batch);
+  await runLoad(fleet, warmUpMs);
+  const before = await countAppends(log);
+  const cpu = process.cpuUsage();
+  const times = await runLoad(fleet, loadMs);
+  const {user, system} = process.cpuUsage(cpu);
+  const appends = (await countAppends(log)) - before;
+  const core = (user + system) / 10 / loadMs / arbiters;
+  console.log(
+    `${ratePerSecond} keyed requests/s, ${arbiters} arbiters, ${partitions} partitions, ${name}, log delay ${delayMs} ms: ` +
+      `${((appends * 1000) / loadMs).toFixed(0)} appends/s, claim p50 ${pickQuantile(times, 0.5)}, ` +
+      `p99 ${pickQuantile(times, 0.99)}, ${core.toFixed(1)}% of a core each`,
+  );
+  await fleet.stop();
+  log.process.kill('SIGKILL');
+}
+
+function measureMemory(): void {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  const count = 100_000;
+  const table = new KeyTable(windowMs, -Infinity);
+  collect();
+  const before = process.memoryUsage();
+  for (let i = 0; i < count; i += 1) {
+    const claim = makeClaimId();
+    const key = makeKeyId(asId('crew'), asId('bench-log'), claim);
+    addValue(table, 2 * i, {kind: 'claim', key, claim, print});
+    addValue(table, 2 * i + 1, {kind: 'complete', key, claim, outcome});
+  }
+  collect();
+  const after = process.memoryUsage();
+  const grown =
+    after.heapUsed + after.arrayBuffers - before.heapUsed - before.arrayBuffers;
+  const perKey = grown / table.countKeys();
+  const keys = (ratePerSecond * windowMs) / 1000 / partitions;
+  console.log(
+    `memory: ${perKey.toFixed(0)} bytes per key, ${((perKey * keys) / 1e6).toFixed(1)} MB for the ${keys} keys of one partition at ${ratePerSecond}/s over the window`,
+  );
+}
+
+function addValue(table: KeyTable, offset: number, value: unknown): void {
+  // As from the wire, so that no string is shared with the writer.
+  const copy = JSON.parse(JSON.stringify(value));
+  table.apply({offset, atMs: 1000 + offset * 0.5, value: copy});
+}
+
+async function measureReadBack(delays: readonly Millis[]): Promise<void> {
+  const log = await startLog();
+  const client = createLog(log.url);
+  const count = 50_000;
+  for (let i = 0; i < count / 2; i += 500) {
+    const values = Array.from({length: 500}, () => {
+      const claim = makeClaimId();
+      const key = makeKeyId(asId('crew'), asId('bench-log'), claim);
+      return [
+        {kind: 'claim', key, claim, print},
+        {kind: 'complete', key, claim, outcome},
+      ];
+    }).flat();
+    await client.append('keys-0', values);
+  }
+  for (const delayMs of delays) {
+    await setDelay(log, delayMs);
+    const startedAt = systemClock.getTime();
+    const cpu = process.cpuUsage();
+    const reader = new KeyReader('keys-0', client, windowMs);
+    while (!(await reader.readPage(0)).whole);
+    const tookMs = systemClock.getTime() - startedAt;
+    const {user, system} = process.cpuUsage(cpu);
+    console.log(
+      `read back ${count} records (${reader.getTable().countKeys()} keys), log delay ${delayMs} ms: ` +
+        `${tookMs.toFixed(0)} ms, ${((user + system) / 1000).toFixed(0)} ms of a core`,
+    );
+  }
+  await client.close();
+  log.process.kill('SIGKILL');
+}
+
+measureMemory();
+await measureReadBack([0, 5, 20]);
+for (const delayMs of [5, 20]) await measureQuiet(delayMs);
+for (const delayMs of [5, 20]) {
+  await measureLoad('in groups', defaultBatch, delayMs, 8);
+  await measureLoad('one record an append', unbatched, delayMs, 8);
+}
+await measureLoad('in groups', defaultBatch, 5, partitions);
+process.exit(0);
--- a/src/once/key_table.ts
+++ b/src/once/key_table.ts
@@ -1,13 +1,15 @@
 import * as E from 'fp-ts/lib/Either.js';
-import {assertNever, decodeWith, Millis} from '../base/index.js';
+import {assertNever, decodeWith, hashText, Millis} from '../base/index.js';
 import {LogRecord} from '../logservice/index.js';
 import {KeyRecord, keyRecordCodec} from './record.js';
 
 /** A claim in the log that was not released; claims of one key form a list in log order. */
 interface KeyClaim {
   readonly claim: string;
-  readonly print: string;
-  readonly atMs: Millis;
+  /** 32-bit hash of the print; it only tells callers of a mistake. */
+  readonly print: number;
+  /** Whole milliseconds after the base of the table. */
+  readonly age: Millis;
   /** Offset of the outcome, -1 while there is none. Outcomes stay in the log to bound memory. */
   outcomeOffset: number;
   next: KeyClaim | undefined;
@@ -33,6 +35,8 @@
   private readonly claims = new Map<string, KeyClaim>();
   /** Releases read before their claim: the append of the claim was delayed. Value: time of the release. */
   private readonly early = new Map<string, Millis>();
+  /** Small whole numbers take no memory of their own: 184 bytes per key were measured with full time stamps. */
+  private baseMs: Millis | undefined;
   private nowMs = -Infinity;
   private removedAt = -Infinity;
   private bad = 0;
@@ -60,6 +64,7 @@
   apply(record: LogRecord): KeyRecord | undefined {
     this.nowMs = Math.max(this.nowMs, record.atMs);
     this.coveredSince ??= record.atMs;
+    this.baseMs ??= Math.floor(record.atMs);
     if (this.nowMs - this.removedAt >= removePeriodMs) this.removeExpired();
     const decoded = decodeWith(keyRecordCodec, record.value);
     if (E.isLeft(decoded)) {
@@ -81,7 +86,7 @@
     const holder = this.findHolder(key, this.nowMs);
     if (holder?.claim === claim) return {kind: 'granted'};
     return (
-      describeHolder(holder, print) ?? {
+      describeHolder(holder, hashPrint(print)) ?? {
         kind: 'undecided',
         reason: 'the claim was released or is too old',
       }
@@ -91,7 +96,7 @@
   /** What is known of a key at a time at or after `getTime()`; undefined if it may be free. */
   judgeKey(key: string, print: string, atMs: Millis): KeyVerdict | undefined {
     return this.isCovered()
-      ? describeHolder(this.findHolder(key, atMs), print)
+      ? describeHolder(this.findHolder(key, atMs), hashPrint(print))
       : undefined;
   }
 
@@ -104,10 +109,16 @@
 
   private findHolder(key: string, atMs: Millis): KeyClaim | undefined {
     let claim = this.claims.get(key);
-    while (claim && atMs - claim.atMs >= this.windowMs) claim = claim.next;
+    while (claim && atMs - this.getClaimTime(claim) >= this.windowMs) {
+      claim = claim.next;
+    }
     return claim;
   }
 
+  private getClaimTime(claim: KeyClaim): Millis {
+    return (this.baseMs ?? 0) + claim.age;
+  }
+
   private applyRecord(record: KeyRecord, offset: number, atMs: Millis): void {
     switch (record.kind) {
       case 'claim':
@@ -137,8 +148,15 @@
     record: Extract<KeyRecord, {kind: 'claim'}>,
     atMs: Millis,
   ): void {
-    const {key, claim, print} = record;
-    const added = {claim, print, atMs, outcomeOffset: -1, next: undefined};
+    const {key, claim} = record;
+    const added = {
+      claim,
+      print: hashPrint(record.print),
+      // Rounded up, so that no claim expires early.
+      age: Math.ceil(atMs - (this.baseMs ?? 0)),
+      outcomeOffset: -1,
+      next: undefined,
+    };
     let last = this.claims.get(key);
     if (!last) {
       this.claims.set(key, added);
@@ -171,7 +189,7 @@
     this.removedAt = this.nowMs;
     const oldest = this.nowMs - this.windowMs;
     for (const [key, first] of this.claims) {
-      if (first.atMs > oldest) break;
+      if (this.getClaimTime(first) > oldest) break;
       this.removeClaim(key, first);
     }
     for (const [claim, atMs] of this.early) {
@@ -181,9 +199,13 @@
   }
 }
 
+function hashPrint(print: string): number {
+  return hashText(print) | 0;
+}
+
 function describeHolder(
   holder: KeyClaim | undefined,
-  print: string,
+  print: number,
 ): KeyVerdict | undefined {
   if (!holder) return undefined;
   if (holder.print !== print) return {kind: 'mismatch'};
