Ask the next arbiter when one cannot decide; report bad records

Cause: a node cut off from the log kept the keys of its partitions refused, though other nodes reached the log.

Change: the client asks the second arbiter in rank with a new claim id when the first answers that it cannot decide. Bad records are logged with their count. The in-memory log and the world of arbiters are building blocks in src/testing.

Ruled out: passing over an arbiter for some seconds once it cannot decide; with the log down for all, each node would soon follow each partition.

--- a/src/once/client.ts
+++ b/src/once/client.ts
@@ -108,7 +108,16 @@
       try {
         const request = {key, claim, print, waitMs};
         const answer = await this.callArbiter(arbiter, request, left);
-        return this.useAnswer(answer, key, claim, startedAt, deadline);
+        const decision = this.useAnswer(
+          answer,
+          key,
+          claim,
+          startedAt,
+          deadline,
+        );
+        // The next arbiter may reach the log, or have read more of it.
+        if (decision.kind !== 'undecided') return decision;
+        reason = decision.reason;
       } catch (error) {
         // The claim may be in the log now or later. A new one is made for the next arbiter.
         this.backlog.add({kind: 'release', key, claim});
--- a/src/once/partition.ts
+++ b/src/once/partition.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
   Clock,
   describeError,
@@ -50,6 +51,13 @@
   readonly finish: (verdict: KeyVerdict) => void;
 }
 
+// Any number of claims wait while a partition is read, beyond the count at which Node.js warns of a leak.
+function makeBroadcast(): AbortController {
+  const broadcast = new AbortController();
+  setMaxListeners(0, broadcast.signal);
+  return broadcast;
+}
+
 const late: KeyVerdict = {
   kind: 'undecided',
   reason: 'the log did not answer in time',
@@ -63,12 +71,13 @@
   /** Whether the fold reached the end of the stream and has not lost it since. */
   private isWhole = false;
   private state: 'reading' | 'ready' | 'failing' = 'reading';
-  private stateChange = new AbortController();
+  private stateChange = makeBroadcast();
   /** When a record that had just been appended was last seen. */
   private seenAt = -Infinity;
   private markedAt = -Infinity;
   /** Outcomes on their way to the log; a replay of one runs nothing, so it need not wait. */
   private readonly outcomes = new Map<string, KeyOutcome>();
+  private badReported = 0;
   private recheck: Promise<void> | undefined;
 
   constructor(
@@ -149,6 +158,7 @@
     // Records read on the way to the end of the stream may be old.
     if (this.state === 'ready' && fresh > 0) this.seenAt = this.clock.getTime();
     for (const claim of claims) this.judgeWaiter(claim);
+    this.reportBadRecords();
     if (lost) {
       this.logger.error(
         {stream: this.options.stream},
@@ -160,6 +170,15 @@
     this.setState(whole ? 'ready' : 'reading');
   }
 
+  private reportBadRecords(): void {
+    const badRecords = this.reader.getTable().countBadRecords();
+    if (badRecords > this.badReported) {
+      const {stream} = this.options;
+      this.logger.warn({stream, badRecords}, 'bad key records skipped');
+    }
+    this.badReported = badRecords;
+  }
+
   private async appendMark(gap: boolean): Promise<void> {
     await this.batcher
       .append({kind: 'mark', gap}, gap)
@@ -172,7 +191,7 @@
     if (state === this.state) return;
     this.state = state;
     this.stateChange.abort();
-    this.stateChange = new AbortController();
+    this.stateChange = makeBroadcast();
   }
 
   private async waitUntilRead(deadline: Millis): Promise<void> {
--- a/test/once/interleavings.test.ts
+++ b/test/once/interleavings.test.ts
@@ -1,7 +1,10 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {HeldKey} from '../../src/once/index.js';
-import {windowMs, World} from './world.js';
+import {
+  KeyWorld,
+  keyWorldWindowMs as windowMs,
+} from '../../src/testing/index.js';
 
 const keys = ['a', 'b'];
 const nodeIds = ['n0', 'n1', 'n2'];
@@ -94,7 +97,7 @@
 
 /** Runs steps against real arbiters and clients, and checks each grant as it is made. */
 class Run {
-  readonly world = new World(nodeIds.length);
+  readonly world = new KeyWorld(nodeIds.length);
   readonly grants: Grant[] = [];
   readonly faults: string[] = [];
   private readonly lives = nodeIds.map(() => ({}));
