--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -39,12 +39,15 @@
   Roster,
 } from '../membership/index.js';
 import {NodeCallClient, NodeCallHandlers} from '../nodecalls/index.js';
+import {KeyArbiter, KeyClient, KeySettings} from '../once/index.js';
 import {Settings} from './settings.js';
 
 const recordPeriodMs: Millis = 500;
 const firstPeerMs: Millis = 1000;
 /** Time for the news that this node leaves to reach the entries; see docs/membership.md for what it takes. */
 const leavingMs: Millis = 1000;
+/** Time an arbiter of keys has beyond one append to the log. */
+const arbiterSlackMs: Millis = 500;
 /** Time for which a node that refused a connection gets no work from this entry. */
 const unreachableMs: Millis = 2000;
 
@@ -54,12 +57,15 @@
   private readonly roster: Roster;
   private readonly log: LogClient;
   private readonly registry = new Registry();
+  private readonly keyLog: LogClient;
   private readonly follower: ConfigFollower;
   private readonly snapshotWriter: SnapshotWriter;
   private readonly guard: Guard;
   private readonly remotes: RemoteGuards;
   private readonly calls: NodeCallHandlers;
   private readonly callClient: NodeCallClient;
+  private readonly arbiter: KeyArbiter;
+  private readonly keys: KeyClient;
   private readonly entry: Entry;
   private readonly links: PeerLinks;
   private readonly servers: readonly FastifyInstance[];
@@ -126,6 +132,13 @@
     });
     registerHandover(this.calls, clusterKey, this.follower);
     registerConfigMetrics(this.registry, this.follower);
+    this.keyLog = createLogClient({
+      url: settings.log.url,
+      timeoutMs: settings.log.timeout,
+      localAddress: address,
+      // One long poll and one append for each partition if this node owns them all, and reads of outcomes.
+      connections: 2 * settings.keys.partitions + 8,
+    });
     this.guard = new Guard(
       {
         getConfiguration: () => this.follower.getConfiguration(),
@@ -139,11 +152,14 @@
       address,
     );
     this.remotes = new RemoteGuards(clusterKey, clock, address);
+    this.arbiter = this.buildArbiter();
+    this.keys = this.buildKeyClient();
     this.entry = new Entry(
       {
         node,
         guard: this.guard,
         remotes: this.remotes,
+        keys: this.keys,
         judge: service => this.judge(service),
         onReach: (node, reached) => this.setReached(node, reached),
         isLeaving: () => this.leaving,
@@ -204,6 +220,8 @@
     const {ports, node} = this.settings;
     void this.guard.run(signal);
     void this.links.run(signal);
+    void this.arbiter.run(signal);
+    void this.keys.run(signal);
     void runEvery(this.clock, recordPeriodMs, signal, () =>
       this.publishRecord(),
     );
@@ -227,9 +245,14 @@
       closing,
       this.clock.sleep(this.settings.shutdown.grace),
     ]);
+    await Promise.race([
+      this.keys.waitUntilTried(),
+      this.clock.sleep(this.settings.log.timeout),
+    ]);
     this.stopping.abort();
     await this.callClient.close();
     await this.log.close();
+    await this.keyLog.close();
     this.logger.info('left');
   }
 
@@ -263,6 +286,45 @@
     return rankByRendezvous(key, nodes).indexOf(this.own.get().node);
   }
 
+  private listArbiterNodes() {
+    return this.roster.list().filter(({state}) => state === 'serving');
+  }
+
+  private getKeySettings(): KeySettings {
+    const {window, partitions} = this.settings.keys;
+    return {windowMs: window, partitions};
+  }
+
+  private buildArbiter(): KeyArbiter {
+    const arbiter = new KeyArbiter(
+      {
+        ...this.getKeySettings(),
+        node: this.own.get().node,
+        listNodes: () => this.listArbiterNodes(),
+      },
+      this.keyLog,
+      this.clock,
+      this.logger,
+    );
+    arbiter.registerCalls(this.calls);
+    return arbiter;
+  }
+
+  private buildKeyClient(): KeyClient {
+    return new KeyClient(
+      {
+        ...this.getKeySettings(),
+        node: this.own.get().node,
+        arbiter: this.arbiter,
+        calls: this.callClient,
+        callMs: this.settings.log.timeout + arbiterSlackMs,
+        listNodes: () => this.listArbiterNodes(),
+      },
+      this.clock,
+      this.logger,
+    );
+  }
+
   private judge(service: Service): readonly JudgedServer[] {
     const now = this.clock.getTime();
     const {retired} = this.follower.getConfiguration();
--- a/src/entry/caller_error.ts
+++ b/src/entry/caller_error.ts
@@ -8,6 +8,8 @@
   | 'bad-request'
   | 'body-timeout'
   | 'key-required'
+  | 'bad-key'
+  | 'key-mismatch'
   | 'over-limit'
   | 'busy'
   | 'no-server'
@@ -31,9 +33,12 @@
       return 401;
     case 'bad-request':
     case 'key-required':
+    case 'bad-key':
       return 400;
     case 'body-timeout':
       return 408;
+    case 'key-mismatch':
+      return 422;
     case 'over-limit':
       return 429;
     case 'key-in-use':
@@ -64,6 +69,10 @@
       return 'the request body did not arrive in time; send the whole body at once';
     case 'key-required':
       return 'this route needs an idempotency-key header for non-idempotent requests';
+    case 'bad-key':
+      return 'the idempotency-key header is malformed; send 1 to 255 printable ASCII characters without spaces';
+    case 'key-mismatch':
+      return 'this idempotency key was used with another method, path or body; use a new key for a new request';
     case 'over-limit':
       return 'the limit of this account is reached; wait and send again';
     case 'busy':
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -19,6 +19,7 @@
   pickForwardHeaders,
 } from '../guard/index.js';
 import {JudgedServer} from '../health/index.js';
+import {KeyClient} from '../once/index.js';
 import {AccountTable} from './accounts.js';
 import {Attempts, WholeAnswer} from './attempts.js';
 import {BodyReader, openBody} from './body.js';
@@ -27,6 +28,7 @@
 import {Choice} from './choose.js';
 import {isIdempotent, Job, parseTimeout} from './job.js';
 import {AccountLimits} from './limits.js';
+import {forwardBody, KeyGate} from './keyed.js';
 import {RemoteGuards} from './remote_guard.js';
 import {RouteTable} from './route_table.js';
 
@@ -35,6 +37,7 @@
   readonly node: NodeId;
   readonly guard: Guard;
   readonly remotes: RemoteGuards;
+  readonly keys: Pick<KeyClient, 'claim'>;
   /** Backend servers of a service with the verdict of the exclusion rule. */
   judge(service: Service): readonly JudgedServer[];
   /** Called when the node of a server cannot be reached, or was reached again. */
@@ -50,6 +53,7 @@
   private readonly attempts: Attempts;
   private readonly limits: AccountLimits;
   private readonly bodies: BodyReader;
+  private readonly keyGate: KeyGate;
   private sequence = 0;
 
   constructor(
@@ -68,6 +72,7 @@
     );
     this.limits = new AccountLimits(clock);
     this.bodies = new BodyReader(clock);
+    this.keyGate = new KeyGate(context.keys, clock, logger);
     this.app = buildStreamServer((request, response) =>
       this.handle(request, response),
     );
@@ -123,7 +128,12 @@
     const {partner} = account;
     const base = {requestId, request, response, route, service, partner};
     if (!body) return this.refuse(base, {kind: 'body-timeout', ran: 'no'});
-    await this.run({...base, deadline, body, signal});
+    const job: Job = {...base, deadline, body, signal};
+    const admission = isIdempotent(job)
+      ? {}
+      : await this.keyGate.admit(job, account.id);
+    if (admission === 'answered') return;
+    await this.run({...job, ...admission});
     // The part that arrived may have reached a backend server.
     if (hasStalled()) {
       this.refuse(base, {kind: 'body-timeout', ran: 'unknown'});
@@ -181,7 +191,8 @@
       ...answer.headers,
       'fescuewheel-request-id': job.requestId,
     });
-    pipeline(answer.body, job.response, error => {
+    const body = job.held ? forwardBody(answer, job.held) : answer.body;
+    pipeline(body, job.response, error => {
       this.logger.info(
         {
           requestId: job.requestId,
@@ -201,10 +212,12 @@
       requestId,
       request,
       response,
-    }: Pick<Job, 'requestId' | 'request' | 'response'>,
+      held,
+    }: Pick<Job, 'requestId' | 'request' | 'response' | 'held'>,
     error: CallerError,
   ): void {
     this.logger.info({requestId, ...error}, 'not answered');
+    if (error.ran === 'no') held?.release();
     if (response.destroyed || response.headersSent) return;
     // Reading on would let a refused caller send a body that nobody wants.
     if (!request.complete) response.setHeader('connection', 'close');
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -1,6 +1,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {clampNumber, Millis, PartnerId, RequestId} from '../base/index.js';
 import {Route, Service} from '../config/index.js';
+import {HeldKey} from '../once/index.js';
 import {RequestBody} from './body.js';
 
 const maxTimeoutMs: Millis = 600_000;
@@ -17,6 +18,8 @@
   readonly body: RequestBody;
   /** Aborts when the caller is gone or its body stalls. */
   readonly signal: AbortSignal;
+  /** Set if this request has an idempotency key; it may be sent because it holds the key. */
+  readonly held?: HeldKey;
 }
 
 /** Whether running the request twice has the effect of running it once. */
--- a/test/admission/entry_body.test.ts
+++ b/test/admission/entry_body.test.ts
@@ -90,6 +90,7 @@
       remotes: new RemoteGuards(clusterKey, systemClock),
       judge: () => [server],
       onReach: () => undefined,
+      keys: {claim: async () => ({kind: 'undecided', reason: 'no arbiter'})},
       isLeaving: () => false,
     },
     config,
