Report the capacity of the configuration

The measurements also cover a fleet that holds the full configuration, where an account change costs the most.

--- a/src/bench/config.ts
+++ b/src/bench/config.ts
@@ -14,12 +14,14 @@
 import {LocalFleet, NodePlan} from '../testing/index.js';
 import {
   buildState,
+  changesPerPlan,
   clusterKey,
   ConfigSize,
   confirmChanges,
   encodeRecord,
   foldValue,
   fullSize,
+  makeChanges,
   makeRoutePlace,
   makeToken,
 } from './config_size.js';
@@ -225,7 +227,18 @@
   }
 }
 
-async function measureFleet(nodes: number, changes: number): Promise<void> {
+async function loadFleet(fleet: LocalFleet, size: ConfigSize): Promise<void> {
+  const changes = makeChanges(size);
+  for (let at = 0; at < changes.length; at += changesPerPlan) {
+    await fleet.applyChanges('n0', changes.slice(at, at + changesPerPlan));
+  }
+}
+
+async function measureFleet(
+  nodes: number,
+  changes: number,
+  size?: ConfigSize,
+): Promise<void> {
   const dataCentres = ['a', 'b', 'c', 'd', 'e', 'f'];
   const plans: NodePlan[] = Array.from({length: nodes}, (_, i) => ({
     id: `n${i}`,
@@ -235,12 +248,20 @@
   }));
   const fleet = await LocalFleet.start(plans);
   try {
+    if (size) await loadFleet(fleet, size);
     const times: number[] = [];
     for (let i = 0; i < changes; i += 1) {
       const asked = `n${i % nodes}`;
-      const weight = 1 + (i % 9);
+      const change: Change = size
+        ? {
+            kind: 'set-limit',
+            account: 'account-1',
+            ratePerSecond: i,
+            concurrency: 1,
+          }
+        : {kind: 'set-partner', partner: 'p', weight: 1 + (i % 9)};
       const plan = (await fleet.callAdmin(asked, 'POST', '/v1/plans', {
-        changes: [{kind: 'set-partner', partner: 'p', weight}],
+        changes: [change],
       })) as {plan: string};
       const start = performance.now();
       const outcome = (await fleet.callAdmin(
@@ -259,6 +280,7 @@
     }
     report('confirm to in force on all nodes, log up', {
       nodes,
+      accounts: size?.accounts ?? 0,
       changes,
       medianMs: pickQuantile(times, 0.5),
       p90Ms: pickQuantile(times, 0.9),
@@ -283,4 +305,6 @@
 if (part === 'all' || part === 'fleet') {
   await measureFleet(5, 50);
   await measureFleet(20, 50);
+  await measureFleet(5, 50, fullSize);
+  await measureFleet(20, 50, fullSize);
 }
--- a/src/bench/config_size.ts
+++ b/src/bench/config_size.ts
@@ -27,7 +27,8 @@
 
 export const clusterKey = 'bench-cluster-key-01';
 const seal = new RecordSeal(clusterKey, 'config');
-const changesPerPlan = 4000;
+/** Changes in one plan, so that its text stays below 1 MiB. */
+export const changesPerPlan = 4000;
 const partners = 40;
 const hosts = 200;
 
