--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -145,7 +145,8 @@
         await this.readOnce(longPollMs, signal);
         failures = 0;
         if (!this.hold) continue;
-        await this.fetchMissing();
+        // A fold of a newer format is of no use to this program.
+        if (this.hold.kind !== 'newer-format') await this.fetchMissing();
         await clock.sleep(holdRetryMs, signal);
       } catch (error) {
         if (signal.aborted) return;
@@ -183,6 +184,7 @@
   /** A peer says that it has this version: fetches it from there if the log does not bring it soon. */
   onPeerVersion(record: Omit<ConfigPeer, 'dataCentre'>, version: number): void {
     if (this.hinted || !this.loaded) return;
+    if (this.hold?.kind === 'newer-format') return;
     if (version <= this.state.config.version) return;
     this.hinted = true;
     void this.fetchHinted(record, version).finally(() => {
@@ -221,7 +223,7 @@
 
   private async readAll(): Promise<string | undefined> {
     try {
-      const snapshot = await this.options.snapshots.readNewest();
+      const snapshot = await this.options.snapshots.readNewest(this.state.next);
       if (snapshot) this.merge(snapshot);
       await this.readToEnd();
       return this.hold?.kind === 'gap' ? describeHold(this.hold) : undefined;
@@ -232,7 +234,7 @@
 
   private async fetchMissing(): Promise<void> {
     const {snapshots, peers} = this.options;
-    const snapshot = await snapshots.readNewest();
+    const snapshot = await snapshots.readNewest(this.state.next);
     if (snapshot) this.merge(snapshot);
     for (const answer of await peers.fetch(this.state.next)) {
       if (answer !== 'not-newer') this.merge(answer);
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -101,12 +101,18 @@
     check: CheckChanges = () => undefined,
   ): Promise<ConfirmOutcome> {
     const plan = asId<PlanId>(planId);
-    await this.readOn();
+    const unread = await this.readOn();
     const known = this.follower.getState().outcomes.get(confirmationId);
     if (known) return this.checkPlan(known, plan, confirmationId);
     this.checkMoving();
     const state = this.follower.getState();
     if (!state.plans.has(plan) && !findOutcome(state, plan)) {
+      if (unread) {
+        throw new LogUnavailableError(
+          `confirmation ${confirmationId} was not sent and has no effect: this node does not know plan ${plan}, and ${describeProblem(unread)}; use another node, or try again when the log answers`,
+          {props: {mayTakeEffect: false}},
+        );
+      }
       throw new NotFoundError(
         `plan ${plan} is not known; it may have made room for newer ones: plan anew`,
       );
@@ -121,9 +127,12 @@
     return this.checkPlan(outcome, plan, confirmationId);
   }
 
-  /** Reads what other nodes recorded; a log that is down is reported by the append that follows. */
-  private async readOn(): Promise<void> {
-    await this.follower.readToEnd().catch(() => undefined);
+  /** Reads what other nodes recorded; gives the error of a log that is down, which the append would meet too. */
+  private async readOn(): Promise<Error | undefined> {
+    return this.follower.readToEnd().then(
+      () => undefined,
+      (error: Error) => error,
+    );
   }
 
   private checkMoving(): void {
@@ -172,21 +181,23 @@
     }
     const end = this.clock.getTime() + readBackMs;
     let mayTakeEffect = false;
+    let appended = false;
     let problem = 'it was not read back in time';
-    for (let attempt = 1; attempt <= 2; attempt += 1) {
+    for (const firstWaitMs of [repeatMs, readBackMs]) {
       try {
         await this.log.append(this.stream, [sealed]);
+        appended = true;
         mayTakeEffect = true;
-        attempt = 2;
       } catch (error) {
         mayTakeEffect ||= !isUnsent(error);
         problem = describeProblem(error);
       }
-      const leftMs = end - this.clock.getTime();
-      const waitMs = attempt === 1 ? Math.min(repeatMs, leftMs) : leftMs;
       if (!mayTakeEffect) break;
+      const leftMs = end - this.clock.getTime();
+      const waitMs = appended ? leftMs : Math.min(firstWaitMs, leftMs);
       const found = await this.follower.waitFor(find, waitMs);
       if (found !== undefined) return found;
+      if (appended) break;
     }
     throw new LogUnavailableError(
       mayTakeEffect
--- a/src/config/snapshots.ts
+++ b/src/config/snapshots.ts
@@ -98,8 +98,12 @@
         this.nextManifest,
         pageSize,
       );
-      // A stream that is shorter than before was replaced; what was read of it no longer exists.
-      if (page.nextOffset < this.nextManifest) this.manifests = [];
+      // A stream that is shorter than before was reset; what was read of it no longer exists.
+      if (page.nextOffset < this.nextManifest) {
+        this.manifests = [];
+        this.nextManifest = 0;
+        continue;
+      }
       const retained = this.manifests.filter(
         manifest => manifest.offset >= page.firstOffset,
       );
@@ -118,10 +122,13 @@
     }
   }
 
-  /** The snapshot of the highest version that is whole; throws LogUnavailableError. */
-  async readNewest(): Promise<ConfigState | undefined> {
+  /**
+   * The whole snapshot that goes furthest, if it has records from offset `known` on; throws LogUnavailableError.
+   */
+  async readNewest(known = 0): Promise<ConfigState | undefined> {
     await this.findNewest();
     for (const manifest of this.manifests) {
+      if (manifest.next <= known) return undefined;
       const state = await this.readSnapshot(manifest);
       if (E.isRight(state)) return state.right;
       this.logger.warn(
--- a/test/config/follower.test.ts
+++ b/test/config/follower.test.ts
@@ -90,6 +90,9 @@
   await t.throwsAsync(operator.confirm('plan-kept', 'conf-kept'), {
     message: /has no effect.*try again when the log answers/,
   });
+  await t.throwsAsync(operator.confirm('plan-else', 'conf-else'), {
+    message: /does not know plan plan-else.*use another node/,
+  });
   log.down = 'silent';
   await t.throwsAsync(operator.confirm('plan-kept', 'conf-kept'), {
     message: /may still take effect.*same id/,
@@ -266,8 +269,12 @@
     proof: 'y',
   };
   t.is((await openStore().readNewest())?.next, 2);
-  log.removeBefore('config-snapshots', 2);
-  t.is(await openStore().readNewest(), undefined);
+  const store = openStore();
+  t.is((await store.readNewest())?.next, 2);
+  t.is(await store.readNewest(2), undefined);
+  log.get('config-snapshots').values.splice(1);
+  log.get('config-snapshot-parts').values.splice(1);
+  t.is(await store.readNewest(), undefined);
 });
 
 // Guards against a state that comes back different from a snapshot in several parts.
