Give each local fleet its own loopback network; say what a lost plan means

A whole run failed once with EADDRINUSE on 127.0.1.3: fleets of tests that run side by side share their addresses, and ports found free are not held until a node listens. Ruled out: more tries, which leave the window open. Each fleet now has a network of its own within 127/8. A trial with the command line showed a plan's servers as not announced while its service was not in force yet, and a lost plan said to take effect, which only a confirmation does.

--- a/src/admin/plans.ts
+++ b/src/admin/plans.ts
@@ -36,7 +36,8 @@
     steps: E.isLeft(after)
       ? []
       : describePlan(config, after.right, plan.changes, id => {
-          const service = config.services[id];
+          // Servers may announce themselves before their service is in force.
+          const service = after.right.services[id] ?? config.services[id];
           return service ? listAnnounced(options, service) : [];
         }),
     changes: plan.changes,
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -44,6 +44,15 @@
   return lines[lines.length - 1];
 }
 
+function describeLost(record: ConfigRecord): string {
+  switch (record.kind) {
+    case 'plan':
+      return `plan ${record.plan} may still be recorded, but does nothing until it is confirmed; list the plans, or plan anew when the log answers`;
+    case 'confirm':
+      return `confirmation ${record.confirmation} may still take effect; send it again with the same id to learn the outcome before you plan anew`;
+  }
+}
+
 /** Puts plans and confirmations on the log and answers after they were read back. */
 export class ConfigOperator {
   private readonly seal: RecordSeal;
@@ -201,7 +210,7 @@
     }
     throw new LogUnavailableError(
       mayTakeEffect
-        ? `${name} may still take effect: ${problem}. Send it again with the same id for the outcome, or ask for the plan before you plan anew; what is in force stays in force meanwhile`
+        ? `${describeLost(record)}: ${problem}. What is in force stays in force meanwhile`
         : `${name} was not sent and has no effect: ${problem}. What is in force stays in force; try again when the log answers`,
       {props: {mayTakeEffect}},
     );
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -99,6 +99,8 @@
   private log: RunningProcess | undefined;
   private readonly folder = mkdtempSync(join(tmpdir(), 'fescuewheel-'));
   private seeds: readonly string[] = [];
+  // Ports found free are not held until the nodes listen; with a network of its own no other fleet takes them.
+  private readonly network = [randomInt(1, 255), randomInt(0, 250)] as const;
 
   /** Starts the log stand-in, all nodes and all backend servers. */
   static async start(plans: readonly NodePlan[]): Promise<LocalFleet> {
@@ -258,7 +260,8 @@
   private async prepareNodes(plans: readonly NodePlan[]): Promise<void> {
     const prepared = await Promise.all(
       plans.map(async (plan, index) => {
-        const address = `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`;
+        const [second, third] = this.network;
+        const address = `127.${second}.${third + Math.floor(index / 250)}.${1 + (index % 250)}`;
         return {plan, address, ports: await findFreePorts(address, 5)};
       }),
     );
--- a/test/admin/api.test.ts
+++ b/test/admin/api.test.ts
@@ -139,6 +139,8 @@
 // Guards against an intent that acts before its confirmation, and against a plan that does not say what it will do.
 test('a plan says what will be done and when, and acts once confirmed', async t => {
   const {call, plan, confirm, stop} = await openApi();
+  const first = await plan(addDesk, addDeskPool);
+  t.regex(first.body.steps[1].sentence, /expects 3 .* 3 have announced/);
   t.like((await confirm(addDesk, addDeskPool)).body, {kind: 'in-force'});
   const planned = await plan(makeRetire('d1'));
   t.is(planned.status, 200);
@@ -151,9 +153,9 @@
   t.deepEqual((await call('GET', '/v1/config')).body.retired, {});
   const path = `/v1/plans/${planned.body.plan}/confirm`;
   const body = {confirmationId: 'confirm-0001'};
-  const first = await call('POST', path, body);
-  t.is(first.status, 200);
-  t.deepEqual((await call('POST', path, body)).body, first.body);
+  const done = await call('POST', path, body);
+  t.is(done.status, 200);
+  t.deepEqual((await call('POST', path, body)).body, done.body);
   const status = (await call('GET', '/v1/status')).body;
   t.deepEqual(
     status.services[0].servers.map((item: {verdict: object}) => item.verdict),
--- a/test/config/follower.test.ts
+++ b/test/config/follower.test.ts
@@ -95,7 +95,7 @@
   });
   log.down = 'silent';
   await t.throwsAsync(operator.confirm('plan-kept', 'conf-kept'), {
-    message: /may still take effect.*same id/,
+    message: /may still take effect.*same id.*meanwhile/,
   });
   log.down = 'no';
   t.like(await operator.confirm('plan-kept', 'conf-kept'), {kind: 'in-force'});
--- a/test/config/rules.test.ts
+++ b/test/config/rules.test.ts
@@ -40,6 +40,14 @@
   account,
 );
 
+function makeRoute(fields: object): Change {
+  return {...route, route: 'r2', ...fields};
+}
+
+function makeAccount(fields: object): Change {
+  return {...account, account: 'a2', ...fields};
+}
+
 const refused: readonly [string, RegExp, ...Change[]][] = [
   ['id', /^service: .* is no id; use/, {...addDesk, service: 'Desk 1'}],
   [
@@ -94,38 +102,18 @@
   [
     'ambiguous route',
     /route records has the host desk.example/,
-    {...route, route: 'r2', host: 'DESK.example.', pathPrefix: '/records'},
-  ],
-  [
-    'host',
-    /^host: .* is no host name/,
-    {...route, route: 'r2', host: 'desk:80'},
+    makeRoute({host: 'DESK.example.', pathPrefix: '/records'}),
   ],
+  ['host', /^host: .* is no host name/, makeRoute({host: 'desk:80'})],
   [
     'prefix',
     /^pathPrefix: .* is no path prefix/,
-    {...route, route: 'r2', pathPrefix: '/a/../b'},
-  ],
-  [
-    'encoded prefix',
-    /^pathPrefix: /,
-    {...route, route: 'r2', pathPrefix: '/a%2f'},
-  ],
-  [
-    'token shape',
-    /^tokenHash: /,
-    {...account, account: 'a2', tokenHash: 'secret'},
-  ],
-  [
-    'token twice',
-    /account crew has the same token/,
-    {...account, account: 'a2'},
-  ],
-  [
-    'no partner',
-    /use set-partner first/,
-    {...account, account: 'a2', partner: 'none'},
+    makeRoute({pathPrefix: '/a/../b'}),
   ],
+  ['encoded prefix', /^pathPrefix: /, makeRoute({pathPrefix: '/a%2f'})],
+  ['token shape', /^tokenHash: /, makeAccount({tokenHash: 'secret'})],
+  ['token twice', /account crew has the same token/, makeAccount({})],
+  ['no partner', /use set-partner first/, makeAccount({partner: 'none'})],
 ];
 
 // Guards against records that put an impossible configuration into force; the baseline took any number and text.
