--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -9,6 +9,7 @@
 export * from './peers.js';
 export * from './presets.js';
 export * from './record.js';
+export * from './role.js';
 export * from './snapshots.js';
 export * from './snapshot_writer.js';
 export * from './state_codec.js';
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -16,14 +16,10 @@
   ServiceId,
 } from '../base/index.js';
 import {
+  buildConfigRole,
   ConfigFollower,
-  ConfigOperator,
-  ConfigPeers,
-  registerConfigMetrics,
-  registerHandover,
+  ConfigRole,
   Service,
-  SnapshotStore,
-  SnapshotWriter,
 } from '../config/index.js';
 import {Entry, RemoteGuards} from '../entry/index.js';
 import {buildDataPort, Guard} from '../guard/index.js';
@@ -45,8 +41,8 @@
   private readonly roster = new Roster();
   private readonly log: LogClient;
   private readonly registry = new Registry();
+  private readonly configRole: ConfigRole;
   private readonly follower: ConfigFollower;
-  private readonly snapshotWriter: SnapshotWriter;
   private readonly guard: Guard;
   private readonly remotes: RemoteGuards;
   private readonly calls: NodeCallHandlers;
@@ -74,42 +70,25 @@
     const {cluster_key: clusterKey} = settings.peers;
     this.calls = new NodeCallHandlers(clusterKey);
     this.callClient = new NodeCallClient(clusterKey, address);
-    const snapshots = new SnapshotStore(
-      this.log,
-      clusterKey,
-      logger,
-      settings.log.config_stream,
-    );
-    this.follower = new ConfigFollower({
+    this.configRole = buildConfigRole({
       log: this.log,
       stream: settings.log.config_stream,
       clusterKey,
-      snapshots,
-      peers: new ConfigPeers(
-        this.callClient,
-        clusterKey,
-        () => this.listPeers(),
-        Math.random,
-        logger,
-      ),
+      snapshotEveryMs: settings.log.snapshot_every,
+      handlers: this.calls,
+      calls: this.callClient,
+      listPeers: () => this.listPeers(),
+      getRank: key => this.getRank(key),
+      registry: this.registry,
       clock,
       random: Math.random,
       logger,
     });
+    this.follower = this.configRole.follower;
     this.roster.onMerge(record => {
       if (record.node === this.record.node) return;
       this.follower.onPeerVersion(record, record.configVersion);
     });
-    this.snapshotWriter = new SnapshotWriter({
-      store: snapshots,
-      follower: this.follower,
-      getRank: key => this.getRank(key),
-      everyMs: settings.log.snapshot_every,
-      clock,
-      logger,
-    });
-    registerHandover(this.calls, clusterKey, this.follower);
-    registerConfigMetrics(this.registry, this.follower);
     this.guard = new Guard(
       {
         getConfiguration: () => this.follower.getConfiguration(),
@@ -159,13 +138,7 @@
         follower: this.follower,
         roster: this.roster,
         judge: service => this.judge(service),
-        operator: new ConfigOperator(
-          this.log,
-          this.follower,
-          clusterKey,
-          settings.log.config_stream,
-          clock,
-        ),
+        operator: this.configRole.operator,
         registry: this.registry,
         logger,
       }),
@@ -183,7 +156,10 @@
     );
     const order = [ports.data, ports.announce, ports.admin, ports.callers];
     for (const [index, server] of this.servers.entries()) {
-      if (server === this.entry.app) await this.loadConfiguration(signal);
+      if (server === this.entry.app) {
+        await this.waitForPeers(signal);
+        await this.configRole.start(signal);
+      }
       if (signal.aborted) return;
       await server.listen({host: node.address, port: order[index]});
     }
@@ -208,14 +184,6 @@
     this.logger.info('left');
   }
 
-  /** Loads the configuration, however long that takes, and then keeps it in step with the log. */
-  private async loadConfiguration(signal: AbortSignal): Promise<void> {
-    await this.waitForPeers(signal);
-    await this.follower.load(signal);
-    void this.follower.run(signal);
-    void this.snapshotWriter.run(signal);
-  }
-
   /** Waits a little for a first peer, which may know a newer version than the log gives. */
   private async waitForPeers(signal: AbortSignal): Promise<void> {
     const {seeds} = this.settings.peers;
