--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -73,6 +74,8 @@
   private seeds: readonly string[] = [];
   private plans: readonly NodePlan[] = [];
   private cuts: readonly LinkCut[] = [];
+  // Ports found free are not held until the nodes listen; with a network of its own no other fleet takes them.
+  private readonly network = [randomInt(1, 255), randomInt(0, 250)] as const;
 
   /** Starts the log stand-in, all nodes and all backend servers. */
   static async start(
@@ -299,7 +302,8 @@
   private async prepareNodes(plans: readonly NodePlan[]): Promise<void> {
     const prepared = await Promise.all(
       plans.map(async (plan, index) => {
-        const address = `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`;
+        const [second, third] = this.network;
+        const address = `127.${second}.${third + Math.floor(index / 250)}.${1 + (index % 250)}`;
         const ports = await findFreePorts(address, 5);
         const relayed = this.options.relays ? [ports[1], ports[2]] : [];
         const relays = await Promise.all(
