Let the guard test abort in the turn in which the slot passes on

Since the guard releases the slot in the abort of the exchange itself, before the body closes, the test's abort came one turn too late: the waiter had started its exchange. Ruled out: a lost check in Guard.serve, which is there. The test now aborts between the release and the waiter's wake; it expects the same refusal and the same number of runs.

--- a/test/admission/guard_slots.test.ts
+++ b/test/admission/guard_slots.test.ts
@@ -146,10 +146,10 @@
   await systemClock.sleep(20);
   if (first.kind === 'answer') {
     first.body.on('error', () => undefined);
-    // Runs in the turn of the event loop in which the slot is passed on.
-    first.body.on('close', () => gone.abort());
   }
+  // The slot passes on at the first abort; the waiter, woken in a microtask, finds its caller gone.
   holder.abort();
+  gone.abort();
   t.is(await readKind(await waiting), 'refused deadline');
   const next = await guard.serve(makeCall('/ok'));
   t.is(await readKind(next), 'answer 2');
