--- a/test/once/fleet.test.ts
+++ b/test/once/fleet.test.ts
@@ -51,6 +51,8 @@
 interface Post {
   readonly path?: string;
   readonly timeoutMs?: number;
+  /** Time after which the caller goes away. */
+  readonly patienceMs?: number;
 }
 
 class Bench {
@@ -72,7 +74,7 @@
   }
 
   async post(id: string, key?: string, options: Post = {}): Promise<Answer> {
-    const {path = '/log', timeoutMs = 5000} = options;
+    const {path = '/log', timeoutMs = 5000, patienceMs = 9000} = options;
     const url = `http://${this.fleet.getNode(id).callers}${path}`;
     const answer = await request(url, {
       method: 'POST',
@@ -82,6 +84,7 @@
         ...(key && {'idempotency-key': key}),
       },
       body: 'detector 7 passed',
+      signal: AbortSignal.timeout(patienceMs),
     });
     const text = await answer.body.text();
     return {status: answer.statusCode, headers: answer.headers, text};
@@ -107,7 +110,8 @@
 }
 
 // Guards against keys in the memory of the node that took the request: it is killed while the request runs, and
-// the retries go through another node and through its replacement. Also fails if the arbiter's memory decides.
+// the retries go through another node and through its replacement. Also guards against a request that is cancelled when its caller leaves, so that the
+// retry is told nothing, and against replaying a body that was not kept whole.
 test('a retry after the entry was killed does not run the request again', async t => {
   const bench = await Bench.start();
   const {fleet} = bench;
@@ -120,11 +124,22 @@
       return replayed && again.status === 201 && again.text === first.text;
     });
     t.is((await bench.post('n1', 'k', {path: '/log/2'})).status, 422);
+    const long = {path: '/log?size=5000'};
+    t.is((await bench.post('n1', 'long', long)).text.length, 5000);
+    await fleet.waitUntil('the long answer is recorded', 3000, async () => {
+      const {headers, text} = await bench.post('n2', 'long', long);
+      return headers['fescuewheel-body-omitted'] === 'true' && text === '';
+    });
     t.is((await bench.post('n1', 'x'.repeat(256))).status, 400);
     t.is((await bench.post('n1', undefined, {path: '/strict'})).status, 400);
 
     await bench.setAllFaults({mode: 'slow', slowMs: 1500});
     const keys = ['a', 'b', 'c', 'd'];
+    await bench.post('n1', 'gone', {patienceMs: 300}).catch(() => undefined);
+    await fleet.waitUntil('a caller that left finds it', 8000, async () => {
+      const retry = await bench.post('n2', 'gone');
+      return retry.headers['fescuewheel-replayed'] === 'true';
+    });
     const lost = keys.map(key => bench.post('n0', key).catch(() => undefined));
     await systemClock.sleep(700);
     fleet.getNode('n0').process.kill('SIGKILL');
