--- a/test/admission/guard_slots.test.ts
+++ b/test/admission/guard_slots.test.ts
@@ -120,11 +120,15 @@
 // Guards against waiting requests that a draining server still gets, seconds after it asked for none.
 test('requests that wait at a server are refused when it drains', async t => {
   const {guard, announce, close} = await openGuard(answerByPath);
-  const first = guard.serve(makeCall('/silent', 400));
+  let isHeld = true;
+  const first = guard.serve(makeCall('/silent', 600)).finally(() => {
+    isHeld = false;
+  });
   const waiting = guard.serve(makeCall('/ok'));
   await systemClock.sleep(20);
   announce('draining');
   t.is(await readKind(await waiting), 'refused draining');
+  t.true(isHeld, 'refused before the slot was free');
   t.is((await first).kind, 'failed');
   await close();
 });
