--- a/src/membership/dialler.ts
+++ b/src/membership/dialler.ts
@@ -49,6 +49,7 @@
   private readonly nodeAt = new Map<string, NodeId>();
   private readonly unwantedSince = new Map<NodeId, Millis>();
   private firstPeers: readonly string[] = [];
+  private wanted: ReadonlySet<string> = new Set();
   private stopped = false;
 
   constructor(
@@ -73,6 +74,7 @@
     const chosen = this.listChosen();
     for (const {node} of chosen) watcher.add(node);
     this.removeWatched(chosen);
+    this.closeUnwanted(chosen);
     const lost = watcher.list().filter(node => !table.has(node));
     const addresses = new Set(this.firstPeers);
     for (const {peerAddress} of chosen) addresses.add(peerAddress);
@@ -80,7 +82,7 @@
       const record = roster.get(node);
       if (record) addresses.add(record.peerAddress);
     }
-    this.closeUnwanted(chosen);
+    this.wanted = addresses;
     const incarnations = new Map(
       roster.list().map(r => [r.peerAddress, r.incarnation]),
     );
@@ -150,7 +152,11 @@
   private async dial(address: string, signal: AbortSignal): Promise<void> {
     let pauseMs = firstPauseMs;
     await this.clock.sleep(this.random() * firstPauseMs, signal);
-    while (!signal.aborted) {
+    // A link that was closed as not needed ends here, and is not dialled again at once.
+    while (
+      !signal.aborted &&
+      (this.isLinked(address) || this.wanted.has(address))
+    ) {
       if (!this.isLinked(address)) {
         const outcome = await this.context.open(
           address,
--- a/test/membership/links.test.ts
+++ b/test/membership/links.test.ts
@@ -14,6 +14,7 @@
 import {findSuspected} from '../../src/membership/index.js';
 import {FrameSocket} from '../../src/membership/frame_socket.js';
 import {decodeFrame, encodeFrame} from '../../src/membership/frames.js';
+import {choosePeers} from '../../src/membership/peer_choice.js';
 import {checkPeer} from '../../src/membership/link_proof.js';
 import {openRelay} from '../../src/standins/index.js';
 
@@ -164,6 +165,37 @@
   );
 });
 
+// Guards against a fleet that stays linked through its seeds, and against links closed as not needed that are dialled
+// again at once. Fails for dials that go on after such a close: the seeds then keep links to all nodes.
+test('after a common start only links that one side chose remain', async t => {
+  const nodes = await startFleet(t, planLinkFleet(16, 80, 1));
+  await waitForAll(nodes);
+  const records = nodes.map(node => node.own.get());
+  const chosen = new Set(
+    records.flatMap(record =>
+      choosePeers(record, records, () => false).flatMap(other => [
+        `${record.node}-${other.node}`,
+        `${other.node}-${record.node}`,
+      ]),
+    ),
+  );
+  const isLean = () =>
+    nodes.every(node =>
+      node.links
+        .listLinked()
+        .every(other => chosen.has(`${getId(node)}-${other}`)),
+    );
+  await waitFor('no other links', 15_000, isLean);
+  for (let i = 0; i < 20; i += 1) {
+    await systemClock.sleep(100);
+    t.true(isLean());
+  }
+  t.is(
+    nodes.reduce((sum, node) => sum + node.links.listLinked().length, 0),
+    chosen.size,
+  );
+});
+
 // Guards against a peer that is told a newer configuration version by nobody. Fails for heartbeats without it.
 test('a heartbeat tells neighbours of a newer configuration', async t => {
   const nodes = await startFleet(t, planLinkFleet(3, 74, 1));
