Give each run of the link tests its own addresses

Cause: two checkouts that ran the link tests at the same time met on fixed addresses; seen once as EADDRINUSE on 127.76.0.1:7400.

Ruled out: ports chosen by the system, because a restarted node must come back at its address.

Change: addresses and ports follow from the process id.

--- a/src/bench/link_fleet.ts
+++ b/src/bench/link_fleet.ts
@@ -23,8 +23,10 @@
   ServerReport,
 } from '../membership/index.js';
 
-const peerPort = 7401;
-const dataPort = 7400;
+// Two runs at the same time, such as tests in two checkouts, get different addresses by their process ids.
+const addressBlock = process.pid % 250;
+const dataPort = 10_000 + 2 * (Math.floor(process.pid / 250) % 5000);
+const peerPort = dataPort + 1;
 
 /** Shape of a node that carries only membership. */
 export interface LinkNodePlan {
@@ -177,16 +179,21 @@
   }
 }
 
-/** Plans for a fleet on the loopback interface: 6 data centres in 2 regions, the first 3 nodes as seeds. */
+/** Address of a node, or of something else at an index that no node has. */
+export function makeAddress(network: number, index: number): string {
+  return `127.${network}.${addressBlock}.${1 + index}`;
+}
+
+/** Plans for a fleet of at most 250 nodes on the loopback interface: 6 data centres in 2 regions, the first 3 nodes as seeds. */
 export function planLinkFleet(
   count: number,
   network: number,
   servers = 12,
 ): readonly LinkNodePlan[] {
-  const seeds = [1, 2, 3].map(i => `127.${network}.0.${i}:${peerPort}`);
+  const seeds = [0, 1, 2].map(i => `${makeAddress(network, i)}:${peerPort}`);
   return Array.from({length: count}, (_, index) => ({
     id: `n${index}`,
-    address: `127.${network}.${Math.floor(index / 250)}.${1 + (index % 250)}`,
+    address: makeAddress(network, index),
     dataCentre: `dc-${index % 6}`,
     region: index % 6 < 3 ? 'east' : 'west',
     seeds,
--- a/test/membership/contacts.test.ts
+++ b/test/membership/contacts.test.ts
@@ -20,7 +20,7 @@
     append: (stream, values) => useLog(() => memory.append(stream, values)),
     read: (...args) => useLog(() => memory.read(...args)),
   };
-  const seeds = ['127.63.0.99:7401'];
+  const seeds = ['127.63.0.251:9401'];
   const nodes = planLinkFleet(4, 63, 1).map(
     plan => new LinkNode({...plan, seeds}, log),
   );
--- a/test/membership/links.test.ts
+++ b/test/membership/links.test.ts
@@ -6,6 +6,7 @@
 import {
   LinkNode,
   LinkNodePlan,
+  makeAddress,
   makeMemoryLog,
   makeNodeRecord,
   planLinkFleet,
@@ -81,7 +82,7 @@
 test('a replayed proof does not open a link', async t => {
   const [node] = await startFleet(t, planLinkFleet(1, 71, 1));
   const {peerAddress} = node.own.get();
-  const recorder = new WebSocketServer({host: '127.71.0.9', port: 7401});
+  const recorder = new WebSocketServer({host: makeAddress(71, 8), port: 9401});
   const recorded: string[] = [];
   recorder.on('connection', client => {
     const upstream = new WebSocket(`ws://${peerAddress}`);
@@ -94,7 +95,7 @@
       client.send(data as Buffer, {binary: isBinary}),
     );
   });
-  const {web} = await openProven('127.71.0.9:7401');
+  const {web} = await openProven(`${makeAddress(71, 8)}:9401`);
   t.is(recorded.length, 2);
   await waitFor('first link', 2000, () => node.links.listLinked().length === 1);
   web.terminate();
@@ -225,8 +226,7 @@
     );
   });
   t.true(again.own.get().incarnation > old.own.get().incarnation);
-  const {address} = nodes[0].plan;
-  const links = await openProven(`${address}:7401`);
+  const links = await openProven(nodes[0].own.get().peerAddress);
   let copies = 0;
   void (async () => {
     for (;;) {
@@ -245,16 +245,17 @@
 /** Puts a relay before the peer port and the data port of a node; gives what cuts them. */
 async function openRelays(plan: LinkNodePlan) {
   const {address} = plan;
+  const direct = makeNodeRecord(plan, 0);
   const peer = await openRelay({
     address,
     port: 0,
-    target: `${address}:7401`,
+    target: direct.peerAddress,
     controlPort: 0,
   });
   const data = await openRelay({
     address,
     port: 0,
-    target: `${address}:7400`,
+    target: direct.dataAddress,
     controlPort: 0,
   });
   const post = async (control: number, cuts: unknown) => {
