Test probes of idle servers and the two kinds of unreachable

Cause: no test guarded the probe of an idle backend server, nor the fault by which one dead backend server made an entry avoid all servers of its node.

Change: two tests; the guard beside one backend server moves to src/testing, for tests of other modules too.

--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,2 +1,3 @@
 export * from './fleet.js';
 export * from './process.js';
+export * from './guard.js';
--- a/test/health/guard_health.test.ts
+++ b/test/health/guard_health.test.ts
@@ -1,93 +1,22 @@
 import {createServer, Server} from 'node:http';
-import {AddressInfo} from 'node:net';
 import {PassThrough, Readable} from 'node:stream';
-import {text} from 'node:stream/consumers';
 import test, {ExecutionContext} from 'ava';
-import {
-  asId,
-  ManualClock,
-  openSilentLogger,
-  systemClock,
-} from '../../src/base/index.js';
-import {emptyConfiguration} from '../../src/config/index.js';
-import {Guard, GuardAnswer, GuardCall} from '../../src/guard/index.js';
+import {ManualClock, systemClock} from '../../src/base/index.js';
+import {RemoteGuards} from '../../src/entry/index.js';
+import {GuardCall} from '../../src/guard/index.js';
 import {ExchangeWatch} from '../../src/guard/exchange_watch.js';
+import {
+  makeGuardCall,
+  openOnFreePort,
+  startLocalGuard,
+} from '../../src/testing/index.js';
 
-const server = asId<GuardCall['server']>('hisskalender-1');
-
-/** A guard beside one backend server that the test controls, when the cold start of the server is over. */
-async function startGuard(
-  t: ExecutionContext,
-  backend: Server,
-): Promise<{guard: Guard; call(change?: Partial<GuardCall>): Promise<string>}> {
-  await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve));
-  const {port} = backend.address() as AddressInfo;
-  let shiftMs = 0;
-  const clock = {
-    ...systemClock,
-    getTime: () => systemClock.getTime() + shiftMs,
-  };
-  const guard = new Guard(
-    {
-      getConfiguration: () => emptyConfiguration,
-      getBaseline: () => 20,
-      onReportChange: () => {},
-    },
-    clock,
-    openSilentLogger(),
-  );
-  const announceServer = () =>
-    guard.announce({
-      server,
-      service: 'hisskalender',
-      pool: 'hisskalender',
-      address: `127.0.0.1:${port}`,
-      incarnation: 1,
-      slots: 5,
-      phase: 'ready',
-    });
-  announceServer();
-  guard.listReports();
-  shiftMs = 100_000;
-  announceServer();
+async function startGuard(t: ExecutionContext, backend: Server) {
   t.teardown(() => {
     backend.closeAllConnections();
     backend.close();
   });
-  const call = async (change: Partial<GuardCall> = {}): Promise<string> =>
-    readAnswer(
-      await guard.serve({
-        requestId: asId('r1'),
-        server,
-        partner: asId('verlag-a'),
-        method: 'GET',
-        path: '/',
-        headers: {},
-        body: null,
-        deadline: clock.getTime() + 2000,
-        signal: new AbortController().signal,
-        ...change,
-      }),
-    );
-  return {guard, call};
-}
-
-async function readAnswer(answer: GuardAnswer): Promise<string> {
-  if (answer.kind !== 'answer') return `${answer.kind}: ${answer.reason}`;
-  return text(answer.body).catch(() => 'broken');
-}
-
-async function callUntilEjected(
-  guard: Guard,
-  call: () => Promise<unknown>,
-): Promise<unknown> {
-  for (let i = 0; i < 25; i += 1) {
-    await call();
-    const [{health}] = guard.listReports();
-    if (health.kind === 'ejected') return health.reason;
-    await systemClock.sleep(50);
-  }
-  return 'not ejected';
+  return startLocalGuard(backend);
 }
 
 // Guards against a truncated answer that passes for a good one, or for a caller that went away.
@@ -97,28 +26,50 @@
     response.write('half');
     setImmediate(() => response.destroy());
   });
-  const {guard, call} = await startGuard(t, backend);
+  const {call, runUntilEjected} = await startGuard(t, backend);
   t.is(await call(), 'broken');
-  t.is(await callUntilEjected(guard, call), 'failing');
+  t.is(await runUntilEjected(call), 'failing');
 });
 
 // Guards against a slow server that leaves no trace because its callers give up first.
 test('a server whose callers go away before the answer is ejected as slow', async t => {
-  const {guard, call} = await startGuard(
+  const {call, runUntilEjected} = await startGuard(
     t,
     createServer(() => {}),
   );
   const callAndLeave = () => call({signal: AbortSignal.timeout(80)});
-  t.is(await callUntilEjected(guard, callAndLeave), 'slow');
+  t.is(await runUntilEjected(callAndLeave), 'slow');
 });
 
 // Guards against one refused server being taken for its node, and against calling it reachable.
 test('a server that refuses connections is reported unreachable', async t => {
   const backend = createServer();
-  const {guard, call} = await startGuard(t, backend);
+  const {call, runUntilEjected} = await startGuard(t, backend);
   await new Promise(resolve => backend.close(resolve));
   t.is(await call(), 'refused: unreachable');
-  t.is(await callUntilEjected(guard, call), 'unreachable');
+  t.is(await runUntilEjected(call), 'unreachable');
+});
+
+// Guards against a dead server without requests that nobody notices while it still announces itself.
+test('an idle server that refuses probes is reported unreachable', async t => {
+  const backend = createServer();
+  const {guard, runUntilEjected} = await startGuard(t, backend);
+  await new Promise(resolve => backend.close(resolve));
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void guard.run(stop.signal);
+  const waitForTick = () => systemClock.sleep(100);
+  t.is(await runUntilEjected(waitForTick), 'unreachable');
+});
+
+// Guards against one dead server excluding all servers of its node, past the floor.
+test('only an own failure to connect makes a node unreachable', async t => {
+  const closed = createServer();
+  const address = await openOnFreePort(closed);
+  await new Promise(resolve => closed.close(resolve));
+  const remotes = new RemoteGuards('test-cluster-key', systemClock);
+  const answer = await remotes.serve(address, makeGuardCall());
+  t.deepEqual(answer, {kind: 'refused', reason: 'node-unreachable'});
 });
 
 function makeCall(clock: ManualClock, body: GuardCall['body'] = null) {
