Follow a change of the whole service within a dozen answers

Cause: the running median moved by 5% an answer. After a fivefold slowdown of the whole service it took 32 answers, which is over a minute at 0.5 requests/s; healthy servers alarmed one after the other, too far apart for the common cause.

Ruled out: a longer window for the common cause (it would keep servers that fall ill one after the other).

Change: from the fifth answer in a row on the same side the median moves by 25%.

--- a/src/health/server_health.ts
+++ b/src/health/server_health.ts
@@ -61,6 +61,8 @@
   readonly relapses: number;
   /** Running median of the time of good answers. */
   readonly typicalMs: Millis;
+  /** Good answers in a row that were slower (positive) or faster (negative) than the running median. */
+  readonly sameSide: number;
   /** Failed connections since the last one that was made. */
   readonly connectFailures: number;
   /** Time of the newest observation. */
@@ -74,6 +76,7 @@
   slowEvidence: noEvidence,
   relapses: 0,
   typicalMs: 0,
+  sameSide: 0,
   connectFailures: 0,
   seenAtMs: 0,
 };
@@ -105,6 +108,10 @@
 // One answer moves the running median by 5%: a tenfold change is followed within 46 answers, and a single
 // outlier of any size moves it by 5%.
 const medianStep = 1.05;
+// From the fifth answer in a row on the same side, the median follows in steps of 25%: after a slowdown of the whole
+// service the baseline must rise before the alarms of a service with few requests spread too far apart in time.
+const medianRun = 5;
+const medianRunStep = 1.25;
 
 /**
  * Multiples of the slow limit at which an answer still under way counts as slow, each once. Three steps let a hang of
@@ -173,16 +180,15 @@
   const {state} = health;
   const tookMs =
     seen.kind === 'answer' && seen.ok && seen.tookMs ? seen.tookMs : undefined;
-  const typicalMs = tookMs
-    ? updateMedian(health.typicalMs, tookMs)
-    : health.typicalMs;
+  const {typicalMs, sameSide} = tookMs ? updateMedian(health, tookMs) : health;
   // Answers to requests sent before the ejection say nothing of the time after it.
-  if (state.kind === 'ejected') return {...health, typicalMs};
+  if (state.kind === 'ejected') return {...health, typicalMs, sameSide};
   // A cold start is slow and no sign of a fault.
   const cold = state.kind === 'probation' && state.cause === 'start';
   return {
     ...health,
     typicalMs,
+    sameSide,
     state:
       state.kind === 'probation'
         ? {...state, answers: state.answers + 1}
@@ -233,9 +239,15 @@
   return ejectServer(failed, rule, 'unreachable', atMs);
 }
 
-function updateMedian(medianMs: Millis, tookMs: Millis): Millis {
-  if (medianMs <= 0) return tookMs;
-  return tookMs > medianMs ? medianMs * medianStep : medianMs / medianStep;
+function updateMedian(
+  {typicalMs, sameSide}: ServerHealth,
+  tookMs: Millis,
+): Pick<ServerHealth, 'typicalMs' | 'sameSide'> {
+  if (typicalMs <= 0) return {typicalMs: tookMs, sameSide: 0};
+  const side = tookMs > typicalMs ? 1 : -1;
+  const run = sameSide * side > 0 ? sameSide + side : side;
+  const step = Math.abs(run) < medianRun ? medianStep : medianRunStep;
+  return {typicalMs: typicalMs * step ** side, sameSide: run};
 }
 
 /** Ejects for a time that doubles with each relapse, up to the rule's bound. */
