--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -6,3 +6,4 @@
 export * from './load.js';
 export * from './settings_text.js';
 export * from './summary.js';
+export * from './guard.js';
