--- a/src/membership/dialler.ts
+++ b/src/membership/dialler.ts
@@ -76,6 +76,10 @@
     this.removeWatched(chosen);
     this.closeUnwanted(chosen);
     const lost = watcher.list().filter(node => !table.has(node));
+    // Nodes with a known record are dialled if they are chosen, and otherwise not needed any more.
+    if (table.all.size >= 2) {
+      this.firstPeers = this.pickFirst(this.firstPeers, roster.list());
+    }
     const addresses = new Set(this.firstPeers);
     for (const {peerAddress} of chosen) addresses.add(peerAddress);
     for (const node of lost) {
@@ -133,9 +137,6 @@
       this.unwantedSince.set(link.node, since);
       if (now - since < graceMs) continue;
       this.unwantedSince.delete(link.node);
-      this.firstPeers = this.firstPeers.filter(
-        address => this.nodeAt.get(address) !== link.node,
-      );
       link.socket.close(closeCodes.notNeeded);
     }
   }
--- a/src/membership/node_record.ts
+++ b/src/membership/node_record.ts
@@ -59,7 +59,7 @@
   dataAddress: t.string,
   adminAddress: t.string,
   state: t.keyof({serving: null, leaving: null}),
-  /** Version in force when the record was published; it follows a change within about a minute. */
+  /** Version in force when the record was published; it follows a change within 10 minutes. */
   configVersion: t.number,
   servers: t.array(serverReportCodec),
   suspicions: t.array(suspicionCodec),
--- a/src/membership/own_record.ts
+++ b/src/membership/own_record.ts
@@ -13,8 +13,10 @@
   'state' | 'configVersion' | 'servers' | 'suspicions'
 >;
 
-/** A change that no entry waits for is published within this time, at random, so that nodes do not do it together. */
-const lazyMs: Millis = 60_000;
+// Changes that no entry waits for are published within such a time, at random, so that nodes do not do it together.
+const figuresMs: Millis = 60_000;
+// 280 changes of configuration a day, each published by 450 nodes within a minute, would cost each node 4 KB/s.
+const configMs: Millis = 600_000;
 /** Time constant of the average of typical answer times. */
 const averagingMs: Millis = 30_000;
 /** The published typical time changes when the average differs by this factor. */
@@ -40,7 +42,8 @@
 export class OwnRecord {
   private readonly averages = new Map<BackendServerId, Average>();
   private publishedAtMs: Millis;
-  private lazyAtMs: Millis | undefined;
+  private figuresAtMs: Millis | undefined;
+  private configAtMs: Millis | undefined;
   private raisedAtMs = -Infinity;
   private outbid = 0;
   private credit = maxBurst;
@@ -72,11 +75,22 @@
     const servers = this.pickTypical(rest.servers, typicalFactor);
     const change = {state, configVersion, suspicions, servers};
     const next: NodeRecord = {...this.record, ...change};
-    if (isSame(next, this.record)) this.lazyAtMs = undefined;
-    else this.lazyAtMs ??= now + this.random() * lazyMs;
+    const sameFigures = isSame(
+      {...next, configVersion: 0},
+      {
+        ...this.record,
+        configVersion: 0,
+      },
+    );
+    if (sameFigures) this.figuresAtMs = undefined;
+    else this.figuresAtMs ??= now + this.random() * figuresMs;
+    if (configVersion === this.record.configVersion)
+      this.configAtMs = undefined;
+    else this.configAtMs ??= now + this.random() * configMs;
     const urgent = !isSame(pickUrgent(next), pickUrgent(this.record));
     const renew = now - this.publishedAtMs >= renewalMs * 0.8;
-    const due = now >= (this.lazyAtMs ?? Infinity);
+    const {figuresAtMs = Infinity, configAtMs = Infinity} = this;
+    const due = now >= Math.min(figuresAtMs, configAtMs);
     if (!urgent && !due && !(renew && this.random() < 0.01)) return;
     const isLeaving = next.state !== this.record.state;
     if (!this.hasCredit() && !isLeaving) return;
@@ -118,7 +132,8 @@
   private publish(next: NodeRecord): void {
     this.record = {...next, version: next.version + 1};
     this.publishedAtMs = this.clock.getTime();
-    this.lazyAtMs = undefined;
+    this.figuresAtMs = undefined;
+    this.configAtMs = undefined;
     this.roster.merge(this.record);
   }
 
