Test that the typical time follows a lasting change and ignores an outlier

Cause: the quicker running median had no test. With steps of 5% alone it would be 36 ms after 12 answers (computed: 20 * 1.05^12), where the test asks for more than 80 ms.

--- a/test/health/server_health.test.ts
+++ b/test/health/server_health.test.ts
@@ -192,3 +192,15 @@
     state: {untilMs: 1000 + rule.ejectMs},
   });
 });
+
+// Guards against a slowdown of the whole service that makes one server after the other alarm at low rates.
+test('the typical time follows a lasting change in 12 answers and ignores an outlier', t => {
+  const usual = makeSeries(20, 100, (atMs, i) =>
+    makeAnswer(atMs, true, i % 2 ? 19 : 21),
+  );
+  const before = observeAll(usual);
+  const outlier = observeAll([makeAnswer(3000, true, 5000)], before);
+  t.true(outlier.typicalMs / before.typicalMs < 1.1);
+  const slow = makeSeries(12, 100, atMs => makeAnswer(3000 + atMs, true, 100));
+  t.true(observeAll(slow, before).typicalMs > 80);
+});
