Leave out a node after two broken connections in a row

Cause: after a VM was killed, 17 requests in 2 s were sent to it, each connection broke, the retry budget ran out and 14 of 601 callers got an error. Ruled out: the witnesses, which suspected the node after 2.4 s. Change: a connection to a guard that breaks before any reply counts towards the loss of the node; two in a row leave it out at once, one does not.

--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -142,7 +142,7 @@
         remotes: this.remotes,
         keys: this.keys,
         judge: service => this.judge(service),
-        onReach: (node, reached) => this.recordReach(node, reached),
+        onReach: (node, reach) => this.reach.record(node, reach),
         isLeaving: () => this.leaving,
       },
       this.follower.getConfiguration(),
@@ -325,11 +325,6 @@
     );
   }
 
-  private recordReach(node: NodeId, reached: boolean): void {
-    if (reached) this.reach.recordReached(node);
-    else this.reach.recordLost(node);
-  }
-
   private hasCommonCause(server: BackendServerId, id: ServiceId): boolean {
     const service = this.follower.getConfiguration().services[id];
     return (
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -29,6 +29,7 @@
 import {isIdempotent, Job, parseTimeout} from './job.js';
 import {AccountLimits} from './limits.js';
 import {forwardBody, KeyGate} from './keyed.js';
+import {findReach, Reach} from './reach.js';
 import {RemoteGuards} from './remote_guard.js';
 import {RouteTable} from './route_table.js';
 
@@ -40,8 +41,8 @@
   readonly keys: Pick<KeyClient, 'claim'>;
   /** Backend servers of a service with the verdict of the exclusion rule. */
   judge(service: Service): readonly JudgedServer[];
-  /** Called when the node of a server cannot be reached, or was reached again. */
-  onReach(node: NodeId, reached: boolean): void;
+  /** Called with what each exchange with another node shows of the way to it. */
+  onReach(node: NodeId, reach: Reach): void;
   isLeaving(): boolean;
 }
 
@@ -179,11 +180,9 @@
     if (record.node === this.context.node)
       return this.context.guard.serve(call);
     const answer = await this.context.remotes.serve(record.dataAddress, call);
-    const lost =
-      answer.kind !== 'answer' &&
-      (answer.reason === 'node-unreachable' || answer.reason === 'no-reply');
-    this.context.onReach(record.node, !lost);
-    if (lost) this.updateServers();
+    const reach = call.signal.aborted ? 'unknown' : findReach(answer);
+    this.context.onReach(record.node, reach);
+    if (reach === 'lost' || reach === 'broken') this.updateServers();
     return answer;
   }
 
--- a/src/entry/reach.ts
+++ b/src/entry/reach.ts
@@ -1,8 +1,29 @@
 import {Clock, Millis, NodeId} from '../base/index.js';
+import {GuardAnswer} from '../guard/index.js';
 
 const firstPauseMs: Millis = 2000;
 const maxPauseMs: Millis = 30_000;
 
+/** What an exchange shows of the way to a node. `broken`: the connection ended before any reply. */
+export type Reach = 'reached' | 'lost' | 'broken' | 'unknown';
+
+/** Tells from the outcome of a call whether the node was reached; what a guard reports was itself a reply. */
+export function findReach(answer: GuardAnswer): Reach {
+  if (answer.kind === 'answer') return 'reached';
+  switch (answer.reason) {
+    case 'node-unreachable':
+    case 'no-reply':
+      return 'lost';
+    case 'node-lost':
+      return 'broken';
+    default:
+      return 'reached';
+  }
+}
+
+// One connection may break for reasons of its own, such as a restart of the node.
+const brokenInRow = 2;
+
 interface Loss {
   readonly untilMs: Millis;
   readonly pauseMs: Millis;
@@ -14,6 +35,7 @@
  */
 export class ReachMemory {
   private losses: ReadonlyMap<NodeId, Loss> = new Map();
+  private broken: ReadonlyMap<NodeId, number> = new Map();
 
   constructor(private readonly clock: Clock) {}
 
@@ -23,7 +45,27 @@
     return loss !== undefined && this.clock.getTime() < loss.untilMs;
   }
 
-  recordLost(node: NodeId): void {
+  /** Takes what an exchange with the node showed. */
+  record(node: NodeId, reach: Reach): void {
+    switch (reach) {
+      case 'reached':
+        return this.recordReached(node);
+      case 'lost':
+        return this.recordLost(node);
+      case 'broken':
+        return this.recordBroken(node);
+      case 'unknown':
+        return undefined;
+    }
+  }
+
+  private recordBroken(node: NodeId): void {
+    const count = (this.broken.get(node) ?? 0) + 1;
+    this.broken = new Map(this.broken).set(node, count);
+    if (count >= brokenInRow) this.recordLost(node);
+  }
+
+  private recordLost(node: NodeId): void {
     const now = this.clock.getTime();
     const known = this.losses.get(node);
     // Requests that were under way together fail together; they count as one failure.
@@ -35,10 +77,15 @@
     this.losses = new Map(this.losses).set(node, loss);
   }
 
-  recordReached(node: NodeId): void {
-    if (!this.losses.has(node)) return;
-    const losses = new Map(this.losses);
-    losses.delete(node);
-    this.losses = losses;
+  private recordReached(node: NodeId): void {
+    if (!this.losses.has(node) && !this.broken.has(node)) return;
+    this.losses = removeKey(this.losses, node);
+    this.broken = removeKey(this.broken, node);
   }
 }
+
+function removeKey<V>(map: ReadonlyMap<NodeId, V>, node: NodeId) {
+  const rest = new Map(map);
+  rest.delete(node);
+  return rest;
+}
--- a/src/entry/remote_guard.ts
+++ b/src/entry/remote_guard.ts
@@ -83,7 +83,7 @@
       end();
       if (isConnectError(error))
         return {kind: 'refused', reason: 'node-unreachable'};
-      return {kind: 'failed', reason: timedOut ? 'no-reply' : 'reset'};
+      return {kind: 'failed', reason: timedOut ? 'no-reply' : 'node-lost'};
     }
   }
 
--- a/src/guard/call.ts
+++ b/src/guard/call.ts
@@ -32,7 +32,8 @@
   | 'backend-shed';
 
 /** How an exchange failed after the request may have been run. */
-export type FailureReason = 'reset' | 'timeout' | 'cut' | 'no-reply';
+export type FailureReason =
+  'reset' | 'timeout' | 'cut' | 'no-reply' | 'node-lost';
 
 /** Free and total slots of the backend server, as its guard counts them. */
 export interface SlotLoad {
