--- /dev/null
+++ b/src/bench/idle.ts
@@ -0,0 +1,56 @@
+import {systemClock} from '../base/index.js';
+import {LocalFleet, NodePlan} from '../testing/index.js';
+import {readUsage} from './usage.js';
+
+// What a node without callers costs in CPU and memory, as processes of their own, at several sizes of the fleet.
+// Usage: node dist/src/bench/idle.js NODES...
+
+const settleMs = 10_000;
+const measureMs = 15_000;
+const dataCentres = ['wien-nord', 'wien-sued', 'noe-tulln'];
+
+function makeNode(index: number): NodePlan {
+  return {
+    id: `n${index}`,
+    dataCentre: dataCentres[index % dataCentres.length],
+    region: 'ostregion',
+    backends: [],
+  };
+}
+
+function computeMedian(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)];
+}
+
+async function measureFleet(count: number): Promise<void> {
+  const plans = Array.from({length: count}, (_, i) => makeNode(i));
+  const fleet = await LocalFleet.start(plans, {relays: false});
+  try {
+    await fleet.applyChanges('n0', [
+      {kind: 'set-partner', partner: 'partner-a', weight: 1},
+    ]);
+    await systemClock.sleep(settleMs);
+    const pids = [...fleet.nodes.values()].map(
+      node => node.process.child.pid ?? 0,
+    );
+    const before = pids.map(readUsage);
+    const start = systemClock.getTime();
+    await systemClock.sleep(measureMs);
+    const tookMs = systemClock.getTime() - start;
+    const after = pids.map(readUsage);
+    const shares = after.map(
+      (usage, i) => (100 * (usage.cpuMs - before[i].cpuMs)) / tookMs,
+    );
+    const resident = after.map(usage => usage.residentMb);
+    console.log(
+      `${count} nodes: CPU median ${computeMedian(shares).toFixed(2)}%, most ${Math.max(...shares).toFixed(2)}% of a core; ` +
+        `resident median ${computeMedian(resident).toFixed(0)} MB, most ${Math.max(...resident).toFixed(0)} MB`,
+    );
+  } finally {
+    await fleet.stop();
+  }
+}
+
+for (const count of process.argv.slice(2).map(Number)) {
+  await measureFleet(count);
+}
--- a/src/testing/scenario/events.ts
+++ b/src/testing/scenario/events.ts
@@ -114,6 +114,14 @@
         share: percent / 100,
       }),
   ),
+  makeEvent(
+    'all backend servers take {int} ms longer',
+    async (world, slowMs: number) => {
+      for (const id of world.fleet.backends.keys()) {
+        await world.fleet.setBackendFaults(id, {mode: 'slow', slowMs});
+      }
+    },
+  ),
   makeEvent('all backend servers turn {word}', async (world, mode: string) => {
     for (const id of world.fleet.backends.keys()) {
       await world.fleet.setBackendFaults(id, {mode, share: 1});
