--- a/test/admission/guard_slots.test.ts
+++ b/test/admission/guard_slots.test.ts
@@ -120,19 +120,34 @@
 // Guards against waiting requests that a draining server still gets, seconds after it asked for none.
 test('requests that wait at a server are refused when it drains', async t => {
   const {guard, announce, close} = await openGuard(answerByPath);
-  let isHeld = true;
-  const first = guard.serve(makeCall('/silent', 600)).finally(() => {
-    isHeld = false;
-  });
+  const first = guard.serve(makeCall('/silent', 600));
   const waiting = guard.serve(makeCall('/ok'));
   await systemClock.sleep(20);
+  const drainedAt = systemClock.getTime();
   announce('draining');
   t.is(await readKind(await waiting), 'refused draining');
-  t.true(isHeld, 'refused before the slot was free');
+  const tookMs = systemClock.getTime() - drainedAt;
+  t.true(
+    tookMs < 300,
+    `the slot was free after 580 ms, refused after ${tookMs}`,
+  );
   t.is((await first).kind, 'failed');
   await close();
 });
 
+// Guards against an entry that has not yet heard of a drain: only the guard can refuse its requests with certainty.
+test('a draining server gets no new request, and the refusal is a certain not-run', async t => {
+  let runs = 0;
+  const {guard, announce, close} = await openGuard((request, response) => {
+    runs += 1;
+    answerByPath(request, response);
+  });
+  announce('draining');
+  t.is(await readKind(await guard.serve(makeCall('/ok'))), 'refused draining');
+  t.is(runs, 0);
+  await close();
+});
+
 // Guards against running a request whose caller left at the moment when it got its slot.
 test('a caller that leaves as its turn comes is not served', async t => {
   let runs = 0;
