Place a request anew instead of queueing it behind a server that was expected free

Change: an entry that expects a free slot asks without the right to queue; refused, it places the request anew, once, within the retry budget.

Cause (leaving.feature, seen once): an answer that ended while the node was leaving left its connection open and idle, and the close 1 s after the signal could meet the caller's next request. Answers of a leaving node now end their connection; the new test failed before.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -59,6 +59,11 @@
     return this.time;
   }
 
+  /** Tasks that wait for their time. */
+  countSleepers(): number {
+    return this.sleepers.length;
+  }
+
   startTimer(duration: Millis, task: () => void): Timer {
     const sleeper = {
       at: this.time + duration,
--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -6,3 +6,4 @@
 export * from './ids.js';
 export * from './logger.js';
 export * from './random.js';
+export * from './stop_signals.js';
--- a/src/base/log_output.ts
+++ b/src/base/log_output.ts
@@ -31,10 +31,6 @@
     }
   }
 
-  countDropped(): number {
-    return this.dropped;
-  }
-
   private writePending(): void {
     if (this.dropped > 0) {
       this.pending.push(
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,6 @@
 import {cac} from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
-import {openLogger, systemClock} from '../base/index.js';
+import {handleStopSignals, openLogger, systemClock} from '../base/index.js';
 import {FleetNode} from './node.js';
 import {readSettings} from './settings.js';
 
@@ -25,14 +25,7 @@
   const {node, logging} = settings.right;
   const logger = openLogger('fescuewheeld', logging.level, {node: node.id});
   const fleetNode = new FleetNode(settings.right, systemClock, logger);
-  let stopping = false;
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.on(signal, () => {
-      if (stopping) return;
-      stopping = true;
-      void fleetNode.stop().then(() => process.exit(0));
-    });
-  }
+  handleStopSignals(() => fleetNode.stop());
   await fleetNode.start();
 }
 
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -10,7 +10,7 @@
 import {JudgedServer} from '../health/index.js';
 import {CallerError} from './caller_error.js';
 import {CandidateCache, Candidates} from './candidates.js';
-import {Choice, chooseServer} from './choose.js';
+import {Choice, chooseServer, hasFreeSlot} from './choose.js';
 import {ServerLoads} from './loads.js';
 import {RetryBudget, RetryBudgets} from './retry_budget.js';
 
@@ -23,8 +23,8 @@
   readonly isIdempotent: boolean;
   /** Whether the body can still be sent from its first byte. */
   canRepeat(): boolean;
-  /** Sends the request to one backend server; never throws. */
-  send(server: JudgedServer): Promise<GuardAnswer>;
+  /** Sends the request to one backend server, where it may queue for a slot or not; never throws. */
+  send(server: JudgedServer, mayQueue: boolean): Promise<GuardAnswer>;
   /** Called with the decision of each attempt. */
   onChoice(attempt: number, candidates: Candidates, choice?: Choice): void;
 }
@@ -91,7 +91,8 @@
       );
       request.onChoice(attempt, candidates, choice);
       if (!choice) return {kind: 'refused', error: findError(progress)};
-      const answer = await this.send(request, choice.server);
+      const mayQueue = attempt > 1 || !this.canSearch(request, choice, budget);
+      const answer = await this.send(request, choice.server, mayQueue);
       if (request.signal.aborted) {
         if (answer.kind === 'answer') answer.body.destroy();
         return {kind: 'gone'};
@@ -111,13 +112,30 @@
   private async send(
     request: AttemptRequest,
     judged: JudgedServer,
+    mayQueue: boolean,
   ): Promise<GuardAnswer> {
     const {server} = judged.known.report;
-    const answer = await this.loads.use(server, () => request.send(judged));
+    const answer = await this.loads.use(server, () =>
+      request.send(judged, mayQueue),
+    );
     if ('load' in answer && answer.load) this.loads.record(server, answer.load);
     return answer;
   }
 
+  /** Whether a request that finds no free slot where one was expected is better placed anew than queued there. */
+  private canSearch(
+    request: AttemptRequest,
+    {server, reason}: Choice,
+    budget: RetryBudget,
+  ): boolean {
+    return (
+      reason !== 'only-one' &&
+      request.canRepeat() &&
+      hasFreeSlot(server, this.loads) &&
+      budget.hasRetry()
+    );
+  }
+
   private canRetry(
     request: AttemptRequest,
     progress: Progress,
--- a/src/entry/choose.ts
+++ b/src/entry/choose.ts
@@ -36,6 +36,13 @@
   return {server: difference < 0 ? first : second, reason: 'more-free-slots'};
 }
 
+/** Whether a server has a free slot as far as the entry knows; the load that it goes by may be old. */
+export function hasFreeSlot({known}: JudgedServer, loads: LoadView): boolean {
+  const {server, slots} = known.report;
+  const free = loads.getLoad(server)?.free ?? slots;
+  return loads.countInFlight(server) < free;
+}
+
 function pickServer(
   candidates: Candidates,
   tried: ReadonlySet<BackendServerId>,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -148,7 +148,7 @@
       signal: job.signal,
       isIdempotent: isIdempotent(job),
       canRepeat: () => job.body.kind !== 'stream',
-      send: server => this.send(job, server),
+      send: (server, mayQueue) => this.send(job, server, mayQueue),
       onChoice: (attempt, candidates, choice) =>
         this.logDecision(job, attempt, candidates, choice),
     });
@@ -162,7 +162,11 @@
     }
   }
 
-  private async send(job: Job, judged: JudgedServer): Promise<GuardAnswer> {
+  private async send(
+    job: Job,
+    judged: JudgedServer,
+    mayQueue: boolean,
+  ): Promise<GuardAnswer> {
     const {report, record} = judged.known;
     const headers = pickForwardHeaders(job.request.headers);
     delete headers.authorization;
@@ -176,6 +180,7 @@
       body: openBody(job.body),
       deadline: job.deadline,
       signal: job.signal,
+      mayQueue,
     };
     if (record.node === this.context.node)
       return this.context.guard.serve(call);
@@ -189,6 +194,8 @@
   private answer(job: Job, answer: WholeAnswer, server: BackendServerId): void {
     job.response.writeHead(answer.status, {
       ...answer.headers,
+      // A connection that ends with its answer can't be closed under the caller's next request.
+      ...(this.context.isLeaving() && {connection: 'close'}),
       'fescuewheel-request-id': job.requestId,
     });
     const body = job.held ? forwardBody(answer, job.held) : answer.body;
--- a/src/entry/remote_guard.ts
+++ b/src/entry/remote_guard.ts
@@ -67,6 +67,7 @@
           [nodeHeaders.server]: call.server,
           [nodeHeaders.partner]: call.partner,
           [nodeHeaders.deadline]: String(remaining),
+          ...(!call.mayQueue && {[nodeHeaders.queue]: 'no'}),
           [nodeHeaders.auth]: signCall(
             this.clusterKey,
             call.requestId,
--- a/src/entry/retry_budget.ts
+++ b/src/entry/retry_budget.ts
@@ -20,13 +20,17 @@
 
   /** Takes the right to one retry, if there is one. */
   useRetry(): boolean {
+    if (!this.hasRetry()) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  hasRetry(): boolean {
     const now = this.clock.getTime();
     const refill = ((now - this.refilledAt) / 1000) * reservePerSecond;
     this.tokens = Math.min(maxTokens, this.tokens + refill);
     this.refilledAt = now;
-    if (this.tokens < 1) return false;
-    this.tokens -= 1;
-    return true;
+    return this.tokens >= 1;
   }
 
   /**
--- a/src/guard/call.ts
+++ b/src/guard/call.ts
@@ -16,6 +16,8 @@
   readonly deadline: Millis;
   /** Aborts when the caller is gone. */
   readonly signal: AbortSignal;
+  /** Whether the request may wait for a slot; if not, it is refused at once when all slots are in use. */
+  readonly mayQueue: boolean;
 }
 
 /**
@@ -72,6 +74,7 @@
   requestId: 'fescuewheel-request-id',
   deadline: 'fescuewheel-deadline-ms',
   partner: 'fescuewheel-partner',
+  queue: 'fescuewheel-queue',
   auth: 'fescuewheel-auth',
   load: 'fescuewheel-load',
   refused: 'fescuewheel-refused',
--- a/src/guard/data_port.ts
+++ b/src/guard/data_port.ts
@@ -92,6 +92,7 @@
       deadline:
         clock.getTime() + Number(request.headers[nodeHeaders.deadline] ?? 0),
       signal: watchClose(response),
+      mayQueue: request.headers[nodeHeaders.queue] !== 'no',
     };
     writeGuardAnswer(response, await guard.serve(call));
   });
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -141,6 +141,7 @@
       call.partner,
       call.deadline,
       call.signal,
+      call.mayQueue,
     );
     if (E.isLeft(admitted)) {
       return {kind: 'refused', reason: admitted.left, load: slots.getLoad()};
--- a/src/guard/slots.ts
+++ b/src/guard/slots.ts
@@ -60,11 +60,12 @@
     return this.inUse === 0 && this.queue.size === 0;
   }
 
-  /** Takes a slot, waiting in the queue until the deadline at most. */
+  /** Takes a slot, waiting in the queue until the deadline at most, or not at all. */
   async admit(
     partner: PartnerId,
     deadline: Millis,
     signal: AbortSignal,
+    mayQueue = true,
   ): Promise<E.Either<RefusalReason, SlotUse>> {
     if (signal.aborted || this.clock.getTime() >= deadline) {
       return E.left('deadline');
@@ -73,6 +74,7 @@
       this.queue.reset();
       return E.right(this.useSlot());
     }
+    if (!mayQueue) return E.left('busy');
     const policy = this.getPolicy();
     const weight = policy.getWeight(partner);
     if (
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -73,6 +73,23 @@
   link: Link | undefined;
 }
 
+function makeKnownNode(
+  node: NodeId,
+  address: string,
+  lostAt: Millis,
+): KnownNode {
+  return {
+    node,
+    address,
+    lostAt,
+    isDialling: false,
+    linkedAt: 0,
+    isDialled: false,
+    peer: undefined,
+    link: undefined,
+  };
+}
+
 /** Links to all other nodes: one task for each node dials it until a link is up. */
 export class Mesh {
   private readonly nodes = new Map<NodeId, KnownNode>();
@@ -117,16 +134,7 @@
     if (known) {
       if (!known.link) known.address = address;
     } else {
-      this.nodes.set(node, {
-        node,
-        address,
-        lostAt: this.clock.getTime(),
-        isDialling: false,
-        linkedAt: 0,
-        isDialled: false,
-        peer: undefined,
-        link: undefined,
-      });
+      this.nodes.set(node, makeKnownNode(node, address, this.clock.getTime()));
     }
     this.startDialling(node);
   }
@@ -158,6 +166,8 @@
   private stop(): void {
     for (const link of this.links) link.abort();
     this.server?.close();
+    // The dialling tasks end when they see that there is no server.
+    this.server = undefined;
   }
 
   private startDialling(node: NodeId): void {
@@ -233,17 +243,8 @@
       link.close();
       return undefined;
     }
-    let known = this.nodes.get(hello.node);
-    known ??= {
-      node: hello.node,
-      address: hello.address,
-      lostAt: 0,
-      isDialling: false,
-      linkedAt: 0,
-      isDialled: false,
-      peer: undefined,
-      link: undefined,
-    };
+    const known =
+      this.nodes.get(hello.node) ?? makeKnownNode(hello.node, hello.address, 0);
     this.nodes.set(hello.node, known);
     const before = known.peer;
     const old = known.link;
--- a/src/sidecar/main.ts
+++ b/src/sidecar/main.ts
@@ -1,7 +1,7 @@
 import {watchFile} from 'node:fs';
 import {cac} from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
-import {openLogger, systemClock} from '../base/index.js';
+import {handleStopSignals, openLogger, systemClock} from '../base/index.js';
 import {
   buildAnnouncementPort,
   buildReadinessPort,
@@ -77,14 +77,7 @@
       logger.error({error: changed.left.message}, 'settings kept as they were');
     }
   };
-  let stopping = false;
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.on(signal, () => {
-      if (stopping) return;
-      stopping = true;
-      void node.stop().then(() => process.exit(0));
-    });
-  }
+  handleStopSignals(() => node.stop());
   process.on('SIGHUP', updateSettings);
   watchFile(path, {interval: settingsCheckMs}, updateSettings);
   await node.start();
--- a/src/testing/guard.ts
+++ b/src/testing/guard.ts
@@ -26,6 +26,7 @@
     body: null,
     deadline: systemClock.getTime() + 2000,
     signal: new AbortController().signal,
+    mayQueue: true,
     ...change,
   };
 }
--- a/test/admission/attempts.test.ts
+++ b/test/admission/attempts.test.ts
@@ -78,6 +78,25 @@
   }
 });
 
+// Guards against a request that waits behind full slots, until its deadline, while other servers have free ones.
+test('a request queues only where no free slot was expected', async t => {
+  const queued: boolean[] = [];
+  const {run, attempts} = makeAttempts(makeServers(6), () => makeAnswer());
+  const send = async (_: JudgedServer, mayQueue: boolean) => {
+    queued.push(mayQueue);
+    return queued.length === 1 ? refuseWith('busy') : makeAnswer();
+  };
+  t.is((await run({send})).kind, 'answered');
+  t.deepEqual(queued, [false, true]);
+  for (const {known} of makeServers(6)) {
+    attempts.loads.record(known.report.server, {free: 0, slots: 3});
+  }
+  await run({send});
+  t.is(queued[2], true, 'all servers are known to be full');
+  await run({send, canRepeat: () => false});
+  t.is(queued[3], true, 'a body that is sent once is not sent back');
+});
+
 // Guards against one service using up the retries of another.
 test('services have budgets of their own', async t => {
   const {run} = makeAttempts(makeServers(4), () => abortWith('reset'));
--- a/test/admission/guard_slots.test.ts
+++ b/test/admission/guard_slots.test.ts
@@ -58,6 +58,7 @@
     body: null,
     deadline: systemClock.getTime() + deadlineMs,
     signal: new AbortController().signal,
+    mayQueue: true,
   };
 }
 
--- a/test/admission/slots.test.ts
+++ b/test/admission/slots.test.ts
@@ -290,3 +290,10 @@
     {seed: 20261204, numRuns: 60},
   );
 });
+
+// Guards against queueing a request that its entry can still place elsewhere.
+test('a request that may not queue is refused while all slots are in use', async t => {
+  const {table} = makeTable(1, makePolicy(10));
+  t.true(E.isRight(await table.admit(a, 1000, never, false)));
+  t.deepEqual(await table.admit(a, 1000, never, false), E.left('busy'));
+});
--- /dev/null
+++ b/test/mesh/mesh.test.ts
@@ -0,0 +1,74 @@
+import {createServer} from 'node:net';
+import test from 'ava';
+import {
+  asId,
+  ManualClock,
+  NodeId,
+  openSilentLogger,
+} from '../../src/base/index.js';
+import {Mesh, MeshHandlers} from '../../src/mesh/index.js';
+
+function handleNews(): void {}
+
+function makeHandlers(): MeshHandlers {
+  return {
+    makeHello: () => {
+      throw new Error('no link was expected');
+    },
+    onEntryMessage: handleNews,
+    onGuardMessage: handleNews,
+    onUp: handleNews,
+    onDown: handleNews,
+    onPeerChange: handleNews,
+    onHolding: handleNews,
+    onRoutingVersion: handleNews,
+    onRoutingWanted: handleNews,
+    onRouting: handleNews,
+  };
+}
+
+/** Counts connections to one loopback address, each of which ends at once. */
+async function startDeafPeer(address: string) {
+  let dials = 0;
+  const server = createServer(socket => {
+    dials += 1;
+    socket.destroy();
+  });
+  await new Promise<void>(resolve => server.listen(0, address, resolve));
+  const bound = server.address();
+  if (bound === null || typeof bound === 'string') throw new Error('no port');
+  return {
+    port: bound.port,
+    countDials: () => dials,
+    stop: () => server.close(),
+  };
+}
+
+async function waitUntil(isMet: () => boolean): Promise<void> {
+  while (!isMet()) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+// Guards against dialling tasks that outlive the mesh and keep the process from ending.
+test('a mesh that is stopped dials no peer again', async t => {
+  const peer = await startDeafPeer('127.0.0.2');
+  const clock = new ManualClock();
+  const stop = new AbortController();
+  const mesh = new Mesh(
+    {node: asId<NodeId>('a'), address: '127.0.0.1', port: peer.port},
+    makeHandlers(),
+    clock,
+    () => 0.5,
+    openSilentLogger(),
+  );
+  await mesh.start(stop.signal);
+  mesh.addNode(asId<NodeId>('b'), '127.0.0.2');
+  await waitUntil(() => peer.countDials() === 1);
+  await waitUntil(() => clock.countSleepers() > 1);
+  stop.abort();
+  for (let i = 0; i < 10; i++) {
+    await clock.advance(2000);
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  t.is(peer.countDials(), 1);
+  peer.stop();
+});
--- a/test/path/local_address.test.ts
+++ b/test/path/local_address.test.ts
@@ -42,6 +42,7 @@
     body: null,
     deadline: systemClock.getTime() + 1000,
     signal: new AbortController().signal,
+    mayQueue: true,
   });
   await t.throwsAsync(log.read('config', 0, 1));
   t.deepEqual(witness.sources, [own, own, own]);
--- a/test/path/path.test.ts
+++ b/test/path/path.test.ts
@@ -48,23 +48,28 @@
   },
 ];
 
+/** Waits until all nodes hold a version and n2 knows the servers of all nodes. */
+async function waitForFleet(fleet: LocalFleet, version: number): Promise<void> {
+  await fleet.waitUntil('version on all nodes', 6000, async () => {
+    const configs = await Promise.all(
+      ['n0', 'n1', 'n2'].map(id => fleet.callAdmin(id, 'GET', '/v1/config')),
+    );
+    return configs.every(c => (c as {version: number}).version === version);
+  });
+  await fleet.waitUntil('all servers known to n2', 6000, async () => {
+    const status = (await fleet.callAdmin('n2', 'GET', '/v1/status')) as {
+      services: {servers: unknown[]}[];
+    };
+    return status.services[0].servers.length === 3;
+  });
+}
+
 // Guards against a path that works only inside one process: three nodes, three backend servers, one log.
 test('a request is served end to end through separate processes', async t => {
   const fleet = await LocalFleet.start([0, 1, 2].map(makeNode));
   try {
     const version = await fleet.applyChanges('n0', changes);
-    await fleet.waitUntil('version on all nodes', 6000, async () => {
-      const configs = await Promise.all(
-        ['n0', 'n1', 'n2'].map(id => fleet.callAdmin(id, 'GET', '/v1/config')),
-      );
-      return configs.every(c => (c as {version: number}).version === version);
-    });
-    await fleet.waitUntil('all servers known to n2', 6000, async () => {
-      const status = (await fleet.callAdmin('n2', 'GET', '/v1/status')) as {
-        services: {servers: unknown[]}[];
-      };
-      return status.services[0].servers.length === 3;
-    });
+    await waitForFleet(fleet, version);
     const servers = new Set<string>();
     for (let i = 0; i < 30; i += 1) {
       const answer = await request(
@@ -81,3 +86,26 @@
     await fleet.stop();
   }
 });
+
+// Guards against closing a kept connection, idle again since a late answer, under the next request of its caller.
+test('an answer of a node that leaves ends its connection', async t => {
+  const fleet = await LocalFleet.start([0, 1, 2].map(makeNode));
+  try {
+    await waitForFleet(fleet, await fleet.applyChanges('n0', changes));
+    for (const id of fleet.backends.keys()) {
+      await fleet.setBackendFaults(id, {mode: 'slow', slowMs: 800});
+    }
+    const n2 = fleet.getNode('n2');
+    const answer = request(`http://${n2.callers}/hisstage/late`, {
+      headers: {authorization: `Bearer ${callerToken}`},
+    });
+    await new Promise(resolve => setTimeout(resolve, 300));
+    n2.process.kill('SIGTERM');
+    const {statusCode, headers, body} = await answer;
+    await body.dump();
+    t.is(statusCode, 200);
+    t.is(headers.connection, 'close');
+  } finally {
+    await fleet.stop();
+  }
+});
