--- a/src/bench/mesh_idle.ts
+++ b/src/bench/mesh_idle.ts
@@ -46,12 +46,13 @@
   const nodes = Array.from({length: count}, (_, index) => ({
     node: asId<NodeId>(`n${index}`),
     address: `127.0.2.${index + 1}`,
+    linkAddress: `127.0.2.${index + 1}:${basePort}`,
   }));
   const meshes = nodes.map(
-    ({node, address}) =>
+    ({node, address, linkAddress}) =>
       new Mesh(
         {node, address, port: basePort},
-        makeHandlers(node, address),
+        makeHandlers(node, linkAddress),
         systemClock,
         Math.random,
         openSilentLogger(),
@@ -61,7 +62,7 @@
   for (const mesh of meshes) await mesh.start(stop.signal);
   meshes.forEach((mesh, index) => {
     for (const other of nodes.slice(0, index)) {
-      mesh.addNode(other.node, other.address);
+      mesh.addNode(other.node, other.linkAddress);
     }
   });
   await systemClock.sleep(settleMs);
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -41,6 +41,7 @@
 /** Another node, reachable or not. */
 export interface Peer {
   readonly node: NodeId;
+  /** host:port at which it takes links. */
   readonly address: string;
   readonly dataCentre: DataCentreId;
   readonly incarnation: number;
@@ -192,15 +193,12 @@
   private async dialUntilLinked(known: KnownNode): Promise<void> {
     let pause = firstPauseMs;
     while (!known.link && this.server) {
-      const socket = new WebSocket(
-        `ws://${known.address}:${this.own.port}/link`,
-        {
-          perMessageDeflate: false,
-          handshakeTimeout: dialTimeoutMs,
-          localAddress: this.own.address,
-          maxPayload: maxFrameBytes,
-        },
-      );
+      const socket = new WebSocket(`ws://${known.address}/link`, {
+        perMessageDeflate: false,
+        handshakeTimeout: dialTimeoutMs,
+        localAddress: this.own.address,
+        maxPayload: maxFrameBytes,
+      });
       await this.runLink(socket, true);
       if (known.link) return;
       if (this.clock.getTime() - known.lostAt > forgetMs) {
--- a/src/sidecar/main.ts
+++ b/src/sidecar/main.ts
@@ -26,6 +26,7 @@
   .command('', 'Run the node beside one backend server on the platform')
   .option('--config <file>', 'Settings; the platform names the file by itself')
   .option('--check-config', 'Check the settings and exit')
+  .option('--link-address <host:port>', 'Where other nodes reach the link port')
   .example('  fescuewheel-sidecar --config settings.toml --check-config')
   .action(runSidecar);
 cli.help();
@@ -33,13 +34,15 @@
 async function runSidecar(flags: {
   config?: string;
   checkConfig?: boolean;
+  linkAddress?: string;
 }): Promise<void> {
   const path = flags.config ?? getSettingsPath();
   if (!path) exitWith(2, 'give --config FILE.toml; see --help');
   const settings = readSettings(path);
   if (E.isLeft(settings)) exitWith(2, settings.left.message);
   if (flags.checkConfig) exitWith(0, `${path}: settings are valid`);
-  await runNode(path, settings.right);
+  const {linkAddress = settings.right.linkAddress} = flags;
+  await runNode(path, {...settings.right, linkAddress});
 }
 
 async function runNode(path: string, settings: SidecarSettings): Promise<void> {
@@ -72,8 +75,10 @@
   );
   const updateSettings = () => {
     const changed = readSettings(path);
-    if (E.isRight(changed)) node.updateSettings(changed.right);
-    else {
+    if (E.isRight(changed)) {
+      const {linkAddress} = settings;
+      node.updateSettings({...changed.right, linkAddress});
+    } else {
       logger.error({error: changed.left.message}, 'settings kept as they were');
     }
   };
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -150,7 +150,7 @@
           kind: 'hello',
           node,
           incarnation: this.incarnation,
-          address,
+          address: settings.linkAddress,
           dataCentre,
           isJoined: this.directory.isJoined(),
           routingVersion: this.follower.getVersion(),
@@ -271,7 +271,7 @@
   }
 
   private async joinFleet(signal: AbortSignal): Promise<void> {
-    const {node, address} = this.settings;
+    const {node, linkAddress: address} = this.settings;
     const known = await this.directory.join({node, address}, signal);
     for (const record of known) {
       if (record.node === node) {
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -20,6 +20,7 @@
 /** What a node keeps in the store for others and for its own next process. */
 export interface NodeEntry {
   readonly node: NodeId;
+  /** host:port at which it takes links. */
   readonly address: string;
   /** Backend server whose leaving this node has acknowledged. */
   readonly departure?: Departure;
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -29,10 +29,9 @@
   readonly announcements: ListenAddress;
   /** Port for links between nodes, the same on all nodes. */
   readonly linkPort: number;
-  readonly announcePeriodMs: Millis;
+  /** host:port at which other nodes reach the link port; it differs from the port itself if a relay lies before it. */
+  readonly linkAddress: string;
   readonly storeUrl: string;
-  /** Time in which a leaving backend server must get no more work. */
-  readonly drainMs: Millis;
   /** Time from the signal to stop until the process is killed. */
   readonly graceMs: Millis;
   readonly repeats: RepeatBounds;
--- a/src/standins/relay.ts
+++ b/src/standins/relay.ts
@@ -1,5 +1,6 @@
 import {createConnection, createServer, Socket} from 'node:net';
 import Fastify, {FastifyInstance} from 'fastify';
+import {Millis, systemClock} from '../base/index.js';
 
 /** Where the relay listens and where it leads. */
 export interface RelayOptions {
@@ -25,12 +26,17 @@
   readonly address: string;
   /** Replaces all cuts. */
   setCuts(cuts: readonly Cut[]): void;
+  /** Delays all bytes from now on, in both directions. */
+  setDelay(delayMs: Millis): void;
+  /** Resets all connections. */
+  reset(): void;
   close(): void;
 }
 
 /** Opens a relay to a target. */
 export async function openRelay(options: RelayOptions): Promise<Relay> {
   let cuts: readonly Cut[] = [];
+  let delayMs: Millis = 0;
   const sockets = new Set<Socket>();
   const [host, port] = options.target.split(':');
 
@@ -51,13 +57,24 @@
     // Bytes lost by a cut leave a gap that TCP would never deliver across, so such a connection carries nothing
     // more in that direction even after the cut ends.
     const lost = {request: false, reply: false};
+    // A shorter delay must not let bytes pass those sent before them.
+    const dueAt = {request: 0, reply: 0};
     const forward = (
       direction: 'request' | 'reply',
       to: Socket,
       bytes: Buffer,
     ): void => {
       if (isCut(source, direction)) lost[direction] = true;
-      if (!lost[direction]) to.write(bytes);
+      if (lost[direction]) return;
+      const now = systemClock.getTime();
+      if (delayMs === 0 && dueAt[direction] <= now) {
+        to.write(bytes);
+        return;
+      }
+      dueAt[direction] = Math.max(now + delayMs, dueAt[direction]);
+      systemClock.startTimer(dueAt[direction] - now, () => {
+        if (!to.destroyed) to.write(bytes);
+      });
     };
     incoming.on('data', bytes => forward('request', outgoing, bytes));
     outgoing.on('data', bytes => forward('reply', incoming, bytes));
@@ -85,6 +102,12 @@
     setCuts: next => {
       cuts = next;
     },
+    setDelay: next => {
+      delayMs = next;
+    },
+    reset: () => {
+      for (const socket of sockets) socket.resetAndDestroy();
+    },
     close: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -63,7 +63,7 @@
     new NewsLog(clock, openSilentLogger()),
   );
   await mesh.start(stop.signal);
-  mesh.addNode(asId<NodeId>('b'), '127.0.0.2');
+  mesh.addNode(asId<NodeId>('b'), `127.0.0.2:${peer.port}`);
   await waitUntil(() => peer.countDials() === 1);
   await waitUntil(() => clock.countSleepers() > 1);
   stop.abort();
--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -8,7 +8,12 @@
 export class BackendStandIn {
   mode: BackendMode = 'good';
   workMs = 20;
-  body = 'the whole body';
+  /** Where nodes reach the server, if a relay lies before it. */
+  announcedPort: number;
+  makeBody: (requestId: string) => string = () => 'the whole body';
+  /** Called when a run begins. */
+  onRun: (request: IncomingMessage, requestId: string) => void = () =>
+    undefined;
   /** Ids of requests that were run, in order. */
   readonly runs: string[] = [];
   /** Ids of requests whose connection closed before the answer. */
@@ -25,6 +30,7 @@
     readonly port: number,
     private readonly announceUrl: string,
   ) {
+    this.announcedPort = port;
     this.server = createServer((request, response) =>
       this.answer(request, response),
     );
@@ -36,6 +42,11 @@
     );
   }
 
+  /** Closes idle connections without notice. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   stop(): void {
     this.server.closeAllConnections();
     this.server.close();
@@ -54,7 +65,7 @@
         headers: {'content-type': 'application/json'},
         body: JSON.stringify({
           service,
-          address: `${this.host}:${this.port}`,
+          address: `${this.host}:${this.announcedPort}`,
           zone: 'z',
           version: 'v1',
           slots: 2,
@@ -80,6 +91,7 @@
       return;
     }
     this.runs.push(id);
+    this.onRun(request, id);
     this.callers.push(
       request.headers[platformHeaders.callerService] as string | undefined,
     );
@@ -91,16 +103,17 @@
   }
 
   private finish(id: string, response: ServerResponse): void {
+    const body = this.makeBody(id);
     response.writeHead(this.mode === 'error' ? 500 : 200, {
       [platformHeaders.requestId]: id,
       [platformHeaders.signature]: `s.${this.id}`,
-      'content-length': Buffer.byteLength(this.body),
+      'content-length': Buffer.byteLength(body),
     });
     if (this.mode === 'cut-body') {
-      response.write(this.body.slice(0, 4));
+      response.write(body.slice(0, 4));
       setTimeout(() => response.destroy(), 10);
     } else {
-      response.end(this.body);
+      response.end(body);
     }
   }
 }
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -112,9 +112,8 @@
       readiness: makeAddress(2),
       announcements: makeAddress(3),
       linkPort: this.base + 4,
-      announcePeriodMs: 500,
+      linkAddress: `${host}:${this.base + 4}`,
       storeUrl: this.storeUrl,
-      drainMs: 2000,
       graceMs: 4000,
       repeats: {ratio: 0.2, windowMs: 10_000, extra: 50},
     };
