--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -77,6 +77,16 @@
   };
 }
 
+/** A configuration in which each version from the second on has added a route `/vN/`. */
+export function makeGrownConfig(version: number) {
+  const {safe} = makeConfig(1).routes;
+  const routes: Record<string, object> = {};
+  for (let added = 2; added <= version; added += 1) {
+    routes[`v${added}`] = {...safe, path_prefix: `/v${added}/`};
+  }
+  return makeConfig(version, routes);
+}
+
 /** Nodes on addresses of the loopback network, with stand-ins for the store and the backend servers. */
 export class World {
   readonly store = new StoreStandIn();
--- a/test/soak/vm.ts
+++ b/test/soak/vm.ts
@@ -15,6 +15,11 @@
 const stopSlackMs: Millis = 500;
 const MS_PER_S = 1000;
 
+/** Address of a fleet's own network, since the port for metrics is the same on all VMs of all fleets. */
+export function makeHost(basePort: number, host: number): string {
+  return `127.4.${Math.floor(basePort / 10) % 250}.${host}`;
+}
+
 /** What a VM writes down; shared by all VMs of a run. */
 export interface SoakLog {
   readonly runs: SeenRun[];
@@ -44,7 +49,7 @@
   ) {}
 
   get host(): string {
-    return `127.0.4.${this.index + 1}`;
+    return makeHost(this.basePort, this.index + 1);
   }
 
   get callers(): string {
@@ -56,6 +61,13 @@
     return [...this.lines, ...this.process.lines];
   }
 
+  /** Stops or goes on reading what the node writes to standard output. */
+  freezeLog(isHeld: boolean): void {
+    const {stdout} = this.process.child;
+    if (isHeld) stdout?.pause();
+    else stdout?.resume();
+  }
+
   async start(): Promise<void> {
     const {host, basePort} = this;
     this.links = await openRelay({
--- /dev/null
+++ b/test/soak/world.ts
@@ -0,0 +1,215 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {makeRandom, Millis, systemClock} from '../../src/base/index.js';
+import {openRelay, Relay} from '../../src/standins/index.js';
+import {StoreMode, StoreStandIn} from '../platform/store_standin.js';
+import {makeConfig, makeGrownConfig} from '../platform/world.js';
+import {Callers} from './callers.js';
+import {Fault} from './plan.js';
+import {SoakRecord} from './promises.js';
+import {makeHost, SoakLog, SoakVm} from './vm.js';
+
+const maxDelayMs: Millis = 250;
+const lagCheckMs: Millis = 50;
+/** Time in which the nodes learn of each other's backend servers. */
+const settleMs: Millis = 1500;
+/** Time after the last fault in which nodes find each other and judge their servers anew. */
+const healMs: Millis = 6000;
+const finalMs: Millis = 2000;
+const finalPauseMs: Millis = 250;
+const ratePerSecond = 8;
+
+/** Size and place of a fleet of real processes. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly nodes: number;
+  /** First of eight ports, used on one loopback address a VM. */
+  readonly basePort: number;
+}
+
+/** A fleet of real processes with stand-ins for all that is around it, and its callers. */
+export class SoakWorld {
+  private readonly store = new StoreStandIn();
+  private readonly log: SoakLog = {
+    runs: [],
+    spans: [],
+    leaves: [],
+    processFaults: [],
+  };
+  private readonly ending = new AbortController();
+  readonly vms: SoakVm[] = [];
+  readonly callers: Callers[] = [];
+  private toStore!: Relay;
+  private version = 1;
+  private lagMs: Millis = 0;
+
+  constructor(
+    private readonly options: WorldOptions,
+    readonly folder = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`)),
+  ) {}
+
+  async start(): Promise<void> {
+    const {nodes, basePort, seed} = this.options;
+    const target = new URL(await this.store.start()).host;
+    this.store.writeConfig(makeConfig(this.version));
+    this.toStore = await openRelay({
+      address: makeHost(basePort, 250),
+      port: basePort,
+      target,
+    });
+    for (let index = 0; index < nodes; index += 1) {
+      const vm = new SoakVm(
+        index,
+        basePort,
+        this.folder,
+        this.toStore.address,
+        this.log,
+      );
+      this.vms.push(vm);
+      this.callers.push(new Callers(index, vm.callers, seed * 100 + index));
+    }
+    await Promise.all(this.vms.map(vm => vm.start()));
+    for (const vm of this.vms) void vm.runHeartbeats(this.ending.signal);
+    void this.watchLag();
+    await systemClock.sleep(settleMs);
+  }
+
+  async run(plan: readonly Fault[]): Promise<SoakRecord> {
+    const stop = new AbortController();
+    const loads = this.callers.map(callers =>
+      callers.run(ratePerSecond, stop.signal),
+    );
+    const start = systemClock.getTime();
+    const random = makeRandom(this.options.seed + 1);
+    await Promise.all(
+      plan.map(async fault => {
+        const delayMs = 20 + random() * maxDelayMs;
+        await systemClock.sleep(start + fault.atMs - systemClock.getTime());
+        await this.applyFault(fault, delayMs);
+      }),
+    );
+    await systemClock.sleep(healMs);
+    stop.abort();
+    await Promise.all(loads);
+    const isFinal = this.callers.map(({records}) => records.length);
+    const path = this.version > 1 ? `/v${this.version}/` : '/safe/';
+    const end = systemClock.getTime() + finalMs;
+    while (systemClock.getTime() < end) {
+      for (const callers of this.callers) callers.start(path, false);
+      await systemClock.sleep(finalPauseMs);
+    }
+    await Promise.all(this.callers.map(callers => callers.waitForAll()));
+    return {
+      ...this.log,
+      requests: this.callers.flatMap(({records}, index) =>
+        records.slice(0, isFinal[index]),
+      ),
+      finalRequests: this.callers.flatMap(({records}, index) =>
+        records.slice(isFinal[index]),
+      ),
+      lagMs: this.lagMs,
+    };
+  }
+
+  /** Writes the logs of all nodes; gives the paths. */
+  writeLogs(): readonly string[] {
+    return this.vms.map(vm => {
+      const path = join(this.folder, `n${vm.index}.log`);
+      writeFileSync(path, vm.listLines().join('\n'));
+      return path;
+    });
+  }
+
+  removeFolder(): void {
+    rmSync(this.folder, {recursive: true});
+  }
+
+  async stop(): Promise<void> {
+    this.ending.abort();
+    await Promise.all(this.vms.map(vm => vm.close()));
+    await Promise.all(this.callers.map(callers => callers.close()));
+    this.toStore.close();
+    this.store.stop();
+  }
+
+  private async applyFault(fault: Fault, delayMs: Millis): Promise<void> {
+    const {kind, forMs, node} = fault;
+    const vm = this.vms[node];
+    switch (kind) {
+      case 'node-term':
+        return vm.restart('SIGTERM', forMs);
+      case 'node-kill':
+        return vm.restart('SIGKILL', forMs);
+      case 'node-pause':
+        return vm.stopFor(forMs);
+      case 'node-reload':
+        return vm.updateSettings();
+      case 'link-delay':
+        return vm.setLinkDelay(delayMs, forMs);
+      case 'link-reset':
+        return vm.resetLinks();
+      case 'link-cut-in':
+        return vm.cutLinks({request: true, reply: false}, forMs);
+      case 'link-cut-out':
+        return vm.cutLinks({request: false, reply: true}, forMs);
+      case 'link-silence':
+        return vm.cutLinks({request: true, reply: true}, forMs);
+      case 'store-down':
+        return this.setStoreMode('down', forMs);
+      case 'store-busy':
+        return this.setStoreMode('busy', forMs);
+      case 'store-silent':
+        return this.setStoreMode('silent', forMs);
+      case 'store-lose-answers':
+        return this.setStoreMode('lose-answers', forMs);
+      case 'store-history-lost':
+        return this.store.removeHistory();
+      case 'store-delay': {
+        this.toStore.setDelay(delayMs);
+        await systemClock.sleep(forMs);
+        return this.toStore.setDelay(0);
+      }
+      case 'backend-hang':
+        return vm.setBackendMode('hang', forMs);
+      case 'backend-error':
+        return vm.setBackendMode('error', forMs);
+      case 'backend-shed':
+        return vm.setBackendMode('shed', forMs);
+      case 'backend-cut-body':
+        return vm.setBackendMode('cut-body', forMs);
+      case 'backend-slow':
+        return vm.setBackendSlow(forMs);
+      case 'backend-drop-idle':
+        return vm.backend.closeIdle();
+      case 'backend-reset':
+        return vm.resetBackend();
+      case 'backend-restart':
+        return vm.restartBackend(forMs);
+      case 'backend-drain':
+        return vm.drainBackend(forMs);
+      case 'new-version':
+        return this.writeVersion();
+    }
+  }
+
+  private async setStoreMode(mode: StoreMode, forMs: Millis): Promise<void> {
+    this.store.mode = mode;
+    await systemClock.sleep(forMs);
+    this.store.mode = 'ok';
+  }
+
+  /** Writes the next version. */
+  private writeVersion(): void {
+    this.version += 1;
+    this.store.writeConfig(makeGrownConfig(this.version));
+  }
+
+  private async watchLag(): Promise<void> {
+    while (!this.ending.signal.aborted) {
+      const due = systemClock.getTime() + lagCheckMs;
+      await systemClock.sleep(lagCheckMs, this.ending.signal);
+      this.lagMs = Math.max(this.lagMs, systemClock.getTime() - due);
+    }
+  }
+}
