--- a/test/soak/vm.ts
+++ b/test/soak/vm.ts
@@ -1,11 +1,17 @@
-import {writeFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {Millis, systemClock} from '../../src/base/index.js';
 import {Cut, openRelay, Relay} from '../../src/standins/index.js';
 import {RunningProcess, startProcess} from '../../src/testing/index.js';
 import {BackendStandIn} from '../platform/backend_standin.js';
 import {renderNodeSettings} from '../platform/settings_text.js';
-import {makeBody, NodeSpan, SeenLeave, SeenRun} from './promises.js';
+import {
+  makeBody,
+  NodeSpan,
+  ProcessorWait,
+  SeenLeave,
+  SeenRun,
+} from './promises.js';
 
 const announceMs: Millis = 500;
 const workMs: Millis = 60;
@@ -14,6 +20,9 @@
 export const graceS = 4;
 const stopSlackMs: Millis = 500;
 const MS_PER_S = 1000;
+const NS_PER_MS = 1_000_000;
+/** Shorter waits for a processor between two looks are not kept. */
+const shortWaitMs: Millis = 5;
 
 /** Address of a fleet's own network, since the port for metrics is the same on all VMs of all fleets. */
 export function makeHost(basePort: number, host: number): string {
@@ -25,6 +34,7 @@
   readonly runs: SeenRun[];
   readonly spans: NodeSpan[];
   readonly leaves: SeenLeave[];
+  readonly processorWaits: ProcessorWait[];
   readonly processFaults: string[];
 }
 
@@ -38,6 +48,7 @@
   private backends = 0;
   private isEnding = false;
   private goneAt: Millis = 0;
+  private waitedNs = 0;
   private readonly lines: string[] = [];
 
   constructor(
@@ -93,6 +104,28 @@
     }
   }
 
+  /** Notes how long the node has waited for a processor since the last look. */
+  recordProcessorWait(): void {
+    const {index, process} = this;
+    let waitedNs: number;
+    try {
+      const text = readFileSync(`/proc/${process.child.pid}/schedstat`, 'utf8');
+      waitedNs = Number(text.split(' ')[1]);
+    } catch {
+      // The process has ended; the next one starts to count anew.
+      this.waitedNs = 0;
+      return;
+    }
+    const waitedMs = (waitedNs - this.waitedNs) / NS_PER_MS;
+    this.waitedNs = waitedNs;
+    if (waitedMs < shortWaitMs) return;
+    this.log.processorWaits.push({
+      node: index,
+      atMs: systemClock.getTime(),
+      waitedMs,
+    });
+  }
+
   /** Stops the node by a signal and starts it again after a pause. */
   async restart(signal: 'SIGTERM' | 'SIGKILL', pauseMs: Millis): Promise<void> {
     if (this.isEnding) return;
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -35,6 +35,7 @@
     runs: [],
     spans: [],
     leaves: [],
+    processorWaits: [],
     processFaults: [],
   };
   private readonly ending = new AbortController();
@@ -209,6 +210,7 @@
     while (!this.ending.signal.aborted) {
       const due = systemClock.getTime() + lagCheckMs;
       await systemClock.sleep(lagCheckMs, this.ending.signal);
+      for (const vm of this.vms) vm.recordProcessorWait();
       this.lagMs = Math.max(this.lagMs, systemClock.getTime() - due);
     }
   }
