--- a/test/soak/explain.test.ts
+++ b/test/soak/explain.test.ts
@@ -88,8 +88,12 @@
 test.serial('explain shows that the node of a run was killed', async t => {
   const world = await startWorld(t);
   for (const {backend} of world.vms) backend.workMs = 1500;
-  for (let i = 0; i < 6; i += 1) world.callers[0].start('/safe/', true);
-  await systemClock.sleep(500);
+  const {backend} = world.vms[2];
+  for (let i = 0; i < 30 && backend.runs.length === 0; i += 1) {
+    world.callers[0].start('/safe/', true);
+    await systemClock.sleep(100);
+  }
+  t.true(backend.runs.length > 0, 'the server of n2 has run nothing');
   await world.vms[2].restart('SIGKILL', 300);
   const records = await waitForRecords(world);
   const lost = records.find(record => getStatus(record) === 502);
