--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -6,5 +6,6 @@
 export * from './ids.js';
 export * from './logger.js';
 export * from './news_log.js';
+export * from './program.js';
 export * from './random.js';
 export * from './stop_signals.js';
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,12 @@
 import {cac} from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
-import {handleStopSignals, openLogger, systemClock} from '../base/index.js';
+import {
+  exitWith,
+  handleStopSignals,
+  openLogger,
+  runProgram,
+  systemClock,
+} from '../base/index.js';
 import {FleetNode} from './node.js';
 import {readSettings} from './settings.js';
 
@@ -29,14 +35,4 @@
   await fleetNode.start();
 }
 
-function exitWith(code: number, message: string): never {
-  (code === 0 ? console.log : console.error)(message);
-  process.exit(code);
-}
-
-try {
-  cli.parse(process.argv, {run: false});
-  await cli.runMatchedCommand();
-} catch (error) {
-  exitWith(1, `fescuewheeld: ${(error as Error).message}`);
-}
+await runProgram('fescuewheeld', cli);
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -54,6 +54,11 @@
     this.socket.send(encodeMessage(message));
   }
 
+  /** Sends news that are encoded already and that have no reply. */
+  sendEncoded(bytes: Buffer): void {
+    if (this.isOpen()) this.socket.send(bytes);
+  }
+
   isOpen(): boolean {
     return this.socket.readyState === WebSocket.OPEN;
   }
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -10,6 +10,7 @@
 } from '../base/index.js';
 import {Channel, Link} from './link.js';
 import {
+  encodeMessage,
   EntryMessage,
   GuardMessage,
   GuardState,
@@ -165,9 +166,10 @@
     return [...this.nodes.values()].filter(({link}) => link).length;
   }
 
-  /** Sends to every peer that has a link. */
-  publish(message: NodeMessage): void {
-    for (const {link} of this.nodes.values()) link?.send(message);
+  /** Sends to every peer that has a link; encoded once, as there are hundreds of links. */
+  publish(message: Extract<NodeMessage, {kind: 'guard' | 'version'}>): void {
+    const bytes = encodeMessage(message);
+    for (const {link} of this.nodes.values()) link?.sendEncoded(bytes);
   }
 
   private stop(): void {
--- a/src/sidecar/main.ts
+++ b/src/sidecar/main.ts
@@ -1,7 +1,13 @@
 import {watchFile} from 'node:fs';
 import {cac} from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
-import {handleStopSignals, openLogger, systemClock} from '../base/index.js';
+import {
+  exitWith,
+  handleStopSignals,
+  openLogger,
+  runProgram,
+  systemClock,
+} from '../base/index.js';
 import {
   buildAnnouncementPort,
   buildReadinessPort,
@@ -88,14 +94,4 @@
   await node.start();
 }
 
-function exitWith(code: number, message: string): never {
-  (code === 0 ? console.log : console.error)(message);
-  process.exit(code);
-}
-
-try {
-  cli.parse(process.argv, {run: false});
-  await cli.runMatchedCommand();
-} catch (error) {
-  exitWith(1, `fescuewheel-sidecar: ${(error as Error).message}`);
-}
+await runProgram('fescuewheel-sidecar', cli);
--- a/src/sidecar/routing.ts
+++ b/src/sidecar/routing.ts
@@ -28,12 +28,6 @@
   readonly shares: readonly ServiceShare[];
 }
 
-/** What the operator set for a service. */
-export interface RoutingService {
-  readonly healthPath: string;
-  readonly maxConnections: number;
-}
-
 /** Bounds on what a caller sends and on how long it stays idle. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -46,7 +40,7 @@
 export interface Routing {
   readonly version: number;
   readonly routes: readonly RoutingRoute[];
-  readonly services: ReadonlyMap<ServiceId, RoutingService>;
+  readonly services: ReadonlySet<ServiceId>;
   readonly limits: CallerLimits;
 }
 
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -8,6 +8,7 @@
   openSilentLogger,
 } from '../../src/base/index.js';
 import {Mesh, MeshHandlers} from '../../src/mesh/index.js';
+import {waitUntil} from '../platform/world.js';
 
 function handleNews(): void {}
 
@@ -45,10 +46,6 @@
   };
 }
 
-async function waitUntil(isMet: () => boolean): Promise<void> {
-  while (!isMet()) await new Promise(resolve => setTimeout(resolve, 5));
-}
-
 // Guards against dialling tasks that outlive the mesh and keep the process from ending.
 test('a mesh that is stopped dials no peer again', async t => {
   const peer = await startDeafPeer('127.0.0.2');
--- a/test/platform/backend_client.test.ts
+++ b/test/platform/backend_client.test.ts
@@ -6,7 +6,25 @@
   RequestId,
   systemClock,
 } from '../../src/base/index.js';
-import {BackendClient} from '../../src/sidecar/backend_client.js';
+import {
+  BackendClient,
+  BackendRequest,
+} from '../../src/sidecar/backend_client.js';
+
+function makeRequest(address: string): BackendRequest {
+  return {
+    requestId: asId<RequestId>('r1'),
+    server: asId<BackendServerId>('s1'),
+    address,
+    method: 'GET',
+    target: '/x',
+    headers: [],
+    body: null,
+    caller: undefined,
+    deadlineAt: systemClock.getTime() + 2000,
+    signal: new AbortController().signal,
+  };
+}
 
 /** Runs one request against a server that answers by `answer`; gives the outcome and the body as passed on. */
 async function run(
@@ -22,26 +40,12 @@
   t.teardown(() => server.close());
   const {port} = server.address() as AddressInfo;
   let body = '';
-  const outcome = await client.run(
-    {
-      requestId: asId<RequestId>('r1'),
-      server: asId<BackendServerId>('s1'),
-      address: `127.0.0.1:${port}`,
-      method: 'GET',
-      target: '/x',
-      headers: [],
-      body: null,
-      caller: undefined,
-      deadlineAt: systemClock.getTime() + 2000,
-      signal: new AbortController().signal,
+  const outcome = await client.run(makeRequest(`127.0.0.1:${port}`), {
+    onHead: () => undefined,
+    onChunk: bytes => {
+      body += bytes.toString();
     },
-    {
-      onHead: () => undefined,
-      onChunk: bytes => {
-        body += bytes.toString();
-      },
-    },
-  );
+  });
   return {outcome, body};
 }
 
@@ -103,20 +107,9 @@
   const client = new BackendClient(systemClock, '127.0.0.1');
   const {outcome} = await run(t, socket => socket.resetAndDestroy(), client);
   t.true(outcome.kind === 'failed' && outcome.mayHaveRun);
-  const refused = await client.run(
-    {
-      requestId: asId<RequestId>('r1'),
-      server: asId<BackendServerId>('s1'),
-      address: '127.0.0.1:1',
-      method: 'GET',
-      target: '/x',
-      headers: [],
-      body: null,
-      caller: undefined,
-      deadlineAt: systemClock.getTime() + 2000,
-      signal: new AbortController().signal,
-    },
-    {onHead: () => undefined, onChunk: () => undefined},
-  );
+  const refused = await client.run(makeRequest('127.0.0.1:1'), {
+    onHead: () => undefined,
+    onChunk: () => undefined,
+  });
   t.true(refused.kind === 'failed' && !refused.mayHaveRun);
 });
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -93,7 +93,7 @@
     await systemClock.sleep(healMs);
     stop.abort();
     await Promise.all(loads);
-    const isFinal = this.callers.map(({records}) => records.length);
+    const countsBefore = this.callers.map(({records}) => records.length);
     const path = this.version > 1 ? `/v${this.version}/` : '/safe/';
     const end = systemClock.getTime() + finalMs;
     while (systemClock.getTime() < end) {
@@ -104,10 +104,10 @@
     return {
       ...this.log,
       requests: this.callers.flatMap(({records}, index) =>
-        records.slice(0, isFinal[index]),
+        records.slice(0, countsBefore[index]),
       ),
       finalRequests: this.callers.flatMap(({records}, index) =>
-        records.slice(isFinal[index]),
+        records.slice(countsBefore[index]),
       ),
       lagMs: this.lagMs,
     };
