Rank guards only where one may be asked

A request that waits looks every 30 to 150 ms whether to ask a further guard, and made views of all guards of its service each time, also while a reply was awaited or eight guards were asked. The loop over the ranked guards asked one at most, since the question itself is then awaited; it says so now.

--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -112,18 +112,15 @@
     const remaining = Math.min(deadlineAt, this.context.getLatestEnd()) - now;
     const expected = this.getExpected();
     if (remaining < expected * worthwhileShare) return 'expired';
-    const ranked = this.rankCandidates(now);
-    for (const node of ranked) {
-      if (this.questions.size >= maxAsked || this.isReplyAwaited(now)) break;
-      this.requestSlot(
-        node,
-        now,
-        isRepeat,
-        ranked.length + this.questions.size,
-      );
+    // Views of all guards are made only where a further one may be asked; each question waits for its first reply.
+    if (this.questions.size < maxAsked && !this.isReplyAwaited(now)) {
+      const ranked = this.rankCandidates(now);
+      const candidates = ranked.length + this.questions.size;
+      if (ranked.length > 0) {
+        this.requestSlot(ranked[0], now, isRepeat, candidates);
+      }
     }
     if (this.questions.size > 0) return this.checkWait(remaining, expected);
-    if (ranked.length > 0) return undefined;
     const waited = now - this.request.receivedAt;
     return waited >= noServerMs || isRepeat ? 'no-server' : undefined;
   }
