--- a/src/base/decode.ts
+++ b/src/base/decode.ts
@@ -31,6 +31,15 @@
   return `${path || 'value'}: expected ${expected}, got ${shown}`;
 }
 
+/** Parses JSON from outside; undefined for text that is none, which a codec then reports. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Decodes a value from outside; Left names the field and what was expected. */
 export function decodeWith<A>(
   codec: t.Type<A, unknown, unknown>,
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -9,6 +9,7 @@
   Logger,
   Millis,
   NodeId,
+  parseJson,
 } from '../base/index.js';
 import {Departure} from './backend_record.js';
 import {KeyedRecord, KeyedStore} from './keyed_store.js';
@@ -125,7 +126,7 @@
 
   private decode({key, value}: KeyedRecord): NodeEntry | undefined {
     if (value.length === 0) return undefined;
-    const entry = decodeWith(entryCodec, parseJson(value));
+    const entry = decodeWith(entryCodec, parseJson(value.toString()));
     if (E.isLeft(entry)) {
       this.logger.warn(
         {key, error: describeError(entry.left)},
@@ -144,12 +145,3 @@
     };
   }
 }
-
-/** Undefined for bytes that are no JSON, which the codec then reports. */
-function parseJson(bytes: Buffer): unknown {
-  try {
-    return JSON.parse(bytes.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
