--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -8,6 +8,8 @@
 export class BackendStandIn {
   mode: BackendMode = 'good';
   workMs = 20;
+  /** Duration of a run by the path of its request; `workMs` unless replaced. */
+  getWorkMs: (path: string) => number = () => this.workMs;
   /** Port in the heartbeats; differs from `port` if a relay is placed before the server. */
   announcedPort: number;
   makeBody: (requestId: string) => string = () => 'the whole body';
@@ -99,7 +101,10 @@
       if (!response.writableFinished) this.abandoned.push(id);
     });
     if (this.mode === 'hang') return;
-    setTimeout(() => this.finish(id, response), this.workMs);
+    setTimeout(
+      () => this.finish(id, response),
+      this.getWorkMs(request.url ?? '/'),
+    );
   }
 
   private finish(id: string, response: ServerResponse): void {
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -1,5 +1,5 @@
 import {createServer, Server, ServerResponse} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {encodeKeyedRecord} from '../../platform/index.js';
 
 /** How the stand-in responds to calls. */
@@ -18,6 +18,12 @@
   private readonly topics = new Map<string, StoredRecord[]>();
   private firstKept = 0;
   private waiting: (() => void)[] = [];
+  private readonly sockets = new Set<Socket>();
+  private readonly silencedSockets = new Set<Socket>();
+  /** Whether stale listings also report the end offset of that time. */
+  hasStaleEnd = false;
+  /** Newest records as they were before the store became stale; undefined while listings are current. */
+  private staleTopics: Map<string, readonly StoredRecord[]> | undefined;
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -25,10 +31,18 @@
       request.on('data', chunk => chunks.push(chunk));
       request.on('end', () => {
         const url = new URL(request.url ?? '/', 'http://store');
+        if (this.silencedSockets.has(request.socket)) return;
         this.calls.push(url.pathname);
         this.answer(url, Buffer.concat(chunks), response);
       });
     });
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.on('close', () => {
+        this.sockets.delete(socket);
+        this.silencedSockets.delete(socket);
+      });
+    });
   }
 
   async start(): Promise<string> {
@@ -62,6 +76,23 @@
     for (const wake of this.waiting.splice(0)) wake();
   }
 
+  /** Makes all open connections silent for good, without a reset; new ones work. */
+  freezeConnections(): void {
+    for (const socket of this.sockets) this.silencedSockets.add(socket);
+    this.waiting = [];
+  }
+
+  /** Lists newest records from now on as they are at this moment, although the end offset grows. */
+  startStaleListings(): void {
+    this.staleTopics = new Map(
+      [...this.topics].map(([topic, records]) => [topic, [...records]]),
+    );
+  }
+
+  endStaleListings(): void {
+    this.staleTopics = undefined;
+  }
+
   private getTopic(topic: string): StoredRecord[] {
     let records = this.topics.get(topic);
     if (!records) {
@@ -98,13 +129,15 @@
 
   private answerNewest(topic: string, response: ServerResponse): void {
     const records = this.getTopic(topic);
-    const newest = new Map(records.map(({key, value}) => [key, value]));
+    const listed = this.staleTopics?.get(topic) ?? records;
+    const newest = new Map(listed.map(({key, value}) => [key, value]));
     const items = [...newest].map(([key, value]) => ({
       key,
       value: value.toString('base64'),
       offset: 0,
     }));
-    response.end(JSON.stringify({items, more: false, end: records.length}));
+    const end = this.hasStaleEnd ? listed.length : records.length;
+    response.end(JSON.stringify({items, more: false, end}));
   }
 
   private answerRead(
