--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -91,6 +91,31 @@
   t.true(E.isLeft(parseOperatorConfig(bytes)));
 });
 
+for (const [name, changes] of Object.entries({
+  'without a time limit': {timeout_ms: 0},
+  'with a negative target': {target_latency_ms: -1},
+  'without an attempt': {max_attempts: 0},
+  'with a fraction of an attempt': {max_attempts: 1.5},
+  'with a negative weight': {
+    weighted_services: [
+      {service: 's1', weight: 5},
+      {service: 's2', weight: -1},
+    ],
+  },
+  'of an unknown kind': {route_type: 'odd'},
+  'whose prefix does not end with a slash': {path_prefix: '/x'},
+})) {
+  test(`a configuration with a route ${name} is not taken`, t => {
+    const routes = {r1: {...config.routes.r1, ...changes}};
+    t.true(E.isLeft(parse({...config, routes})));
+  });
+}
+
+test('a configuration with two routes at one place is not taken', t => {
+  const routes = {r1: config.routes.r1, r2: config.routes.r1};
+  t.true(E.isLeft(parse({...config, routes})));
+});
+
 test('keyed records are unchanged after encoding and decoding', t => {
   const header = Buffer.alloc(16);
   const page = decodePage(
