Notice silent connections to the store before a change can be late

Callers saw: after open connections go silent without a reset, a confirmed change was not in force for up to 16.5 s (404 on an added route), on all nodes at once, so that no peer could tell the version. Cause: a poll of 15 s was the only sign of life, and after its timeout the next call took another idle connection that was silent too. Class: waiting on an old connection without a bound from the promise it serves. The stand-in now also withholds empty pages on frozen connections. Looked for elsewhere: links between nodes are pinged while replies are awaited; backend connections end with their request's deadline. Cost: about 0.6 polls a second and node.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -96,6 +96,7 @@
       },
       this.metrics,
       clock,
+      Math.random,
       logger,
     );
     this.directory = new NodeDirectory(
@@ -256,10 +257,8 @@
       if (this.shutdown.isRefusing(this.clock.getTime()) && open === 0) break;
       await this.clock.sleep(drainPollMs);
     }
-    this.logger.info(
-      {open: this.entry.countOpen(), guarded: this.guard.countOpen()},
-      'stopped',
-    );
+    const open = this.entry.countOpen();
+    this.logger.info({open, guarded: this.guard.countOpen()}, 'stopped');
     this.abortController.abort();
   }
 
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -4,14 +4,20 @@
   describeError,
   Logger,
   Millis,
+  Random,
   ServiceId,
 } from '../base/index.js';
 import {KeyedRecord, KeyedStore} from './keyed_store.js';
 import {StoreMetrics} from './metrics.js';
 import {Routing} from './routing.js';
 
-/** Timeout of a long poll; a dead connection delays updates by up to this time unless a peer announces them sooner. */
-const pollTimeoutMs: Millis = 15_000;
+/**
+ * Longest wait of a poll. A connection may go silent without a reset, at all nodes at once, and the poll is what shows it:
+ * wait, response margin and a new listing together stay below the 3 s after which a disturbed VM must be up to date.
+ */
+const maxPollWaitMs: Millis = 2000;
+/** Shortest wait, as a fraction of the longest; the spread keeps nodes that a change woke together from polling in step. */
+const minPollWaitFraction = 0.75;
 /** Pause after an update, so that changes in quick succession are read together. */
 const coalesceDelayMs: Millis = 250;
 const minRetryDelayMs: Millis = 200;
@@ -37,6 +43,7 @@
     private readonly onChange: (routing: Routing) => void,
     private readonly metrics: StoreMetrics,
     private readonly clock: Clock,
+    private readonly random: Random,
     private readonly logger: Logger,
   ) {}
 
@@ -132,7 +139,7 @@
     signal: AbortSignal,
   ): Promise<number | undefined> {
     const page = await this.countCall('follow', () =>
-      this.store.follow(this.source.topic, from, pollTimeoutMs, signal),
+      this.store.follow(this.source.topic, from, this.choosePollWait(), signal),
     );
     if (!page) {
       this.logger.warn(
@@ -153,6 +160,12 @@
     return page.end;
   }
 
+  private choosePollWait(): Millis {
+    const fraction =
+      minPollWaitFraction + (1 - minPollWaitFraction) * this.random();
+    return Math.round(maxPollWaitMs * fraction);
+  }
+
   private applyRecords(records: readonly KeyedRecord[]): void {
     for (const {key, value} of records) {
       if (key === this.source.key && value.length > 0) {
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -19,7 +19,7 @@
   private firstKept = 0;
   private waiting: (() => void)[] = [];
   private readonly sockets = new Set<Socket>();
-  private readonly silencedSockets = new Set<Socket>();
+  private readonly frozenSockets = new Set<Socket>();
   /** Whether stale listings also report the end offset of that time. */
   hasStaleEnd = false;
   /** Newest records as they were before the store became stale; undefined while listings are current. */
@@ -31,7 +31,7 @@
       request.on('data', chunk => chunks.push(chunk));
       request.on('end', () => {
         const url = new URL(request.url ?? '/', 'http://store');
-        if (this.silencedSockets.has(request.socket)) return;
+        if (this.frozenSockets.has(request.socket)) return;
         this.calls.push(url.pathname);
         this.answer(url, Buffer.concat(chunks), response);
       });
@@ -40,7 +40,7 @@
       this.sockets.add(socket);
       socket.on('close', () => {
         this.sockets.delete(socket);
-        this.silencedSockets.delete(socket);
+        this.frozenSockets.delete(socket);
       });
     });
   }
@@ -78,7 +78,7 @@
 
   /** Makes all open connections silent for good, without a reset; new ones work. */
   freezeConnections(): void {
-    for (const socket of this.sockets) this.silencedSockets.add(socket);
+    for (const socket of this.sockets) this.frozenSockets.add(socket);
     this.waiting = [];
   }
 
@@ -152,6 +152,7 @@
       return;
     }
     const sendPage = () => {
+      if (response.socket && this.frozenSockets.has(response.socket)) return;
       const head = Buffer.alloc(16);
       head.writeBigUInt64BE(BigInt(records.length), 0);
       const rest = records
