List the newest configuration again after a gap, as the first listing may be stale

Callers saw: a change confirmed while a node had lost its place in the store's history was not in force until the next change. Cause: after a gap the node lists the newest records and follows from the end offset of that listing; if the items are behind the end, the change between them is in no page that is read. Class: taking one read as proof of being up to date. Change: the newest records are listed again 1.5, 4 and 6.5 s after a first listing; following goes on where it was. Looked for elsewhere: the node directory is read once more after a write, and nodes that are missed introduce themselves over links.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -281,14 +281,14 @@
   }
 
   private async joinDirectory(signal: AbortSignal): Promise<void> {
-    const {node, linkAddress: address} = this.settings;
-    const entries = await this.directory.join({node, address}, signal);
-    for (const entry of entries) {
-      if (entry.node === node) {
-        if (entry.departure) this.guard.tracker.loadDeparture(entry.departure);
-      } else {
-        this.mesh.addNode(entry.node, entry.address);
-      }
+    const {node, linkAddress} = this.settings;
+    const entries = await this.directory.join(
+      {node, address: linkAddress},
+      signal,
+    );
+    for (const {node: other, address, departure} of entries) {
+      if (other !== node) this.mesh.addNode(other, address);
+      else if (departure) this.guard.tracker.loadDeparture(departure);
     }
   }
 
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -20,6 +20,11 @@
 const minPollWaitFraction = 0.75;
 /** Pause after an update, so that changes in quick succession are read together. */
 const coalesceDelayMs: Millis = 250;
+/**
+ * Times after a first listing at which the newest records are listed again: listings may lag behind by seconds after the
+ * platform dropped its history, and a change that was made meanwhile is in no page that can still be read.
+ */
+const relistDelaysMs: readonly Millis[] = [1500, 4000, 6500];
 const minRetryDelayMs: Millis = 200;
 const maxRetryDelayMs: Millis = 1000;
 
@@ -36,6 +41,8 @@
   private document: Buffer | undefined;
   private isReachable = true;
   private pollController = new AbortController();
+  /** Times at which the newest records are to be listed again; increasing. */
+  private relistTimes: readonly Millis[] = [];
 
   constructor(
     private readonly store: KeyedStore,
@@ -106,10 +113,15 @@
       this.pollController = new AbortController();
       const stopSignal = AbortSignal.any([signal, this.pollController.signal]);
       try {
-        from =
-          from === undefined
-            ? await this.readNewest(stopSignal)
-            : await this.readNext(from, stopSignal);
+        if (from === undefined) {
+          from = await this.readNewest(stopSignal);
+          this.scheduleRelists();
+        } else if (this.claimRelist()) {
+          // Following goes on where it was: the end offset of this listing may be past records not yet read.
+          await this.readNewest(stopSignal);
+        } else {
+          from = await this.readNext(from, stopSignal);
+        }
         this.recordReachability(true);
         retryDelayMs = minRetryDelayMs;
       } catch (error) {
@@ -163,7 +175,24 @@
   private choosePollWait(): Millis {
     const fraction =
       minPollWaitFraction + (1 - minPollWaitFraction) * this.random();
-    return Math.round(maxPollWaitMs * fraction);
+    const untilRelistMs =
+      (this.relistTimes.at(0) ?? Infinity) - this.clock.getTime();
+    return Math.round(
+      Math.max(0, Math.min(maxPollWaitMs * fraction, untilRelistMs)),
+    );
+  }
+
+  private scheduleRelists(): void {
+    const now = this.clock.getTime();
+    this.relistTimes = relistDelaysMs.map(delayMs => now + delayMs);
+  }
+
+  /** Whether a further listing is due; it then counts as done. */
+  private claimRelist(): boolean {
+    const now = this.clock.getTime();
+    const isDue = now >= (this.relistTimes.at(0) ?? Infinity);
+    if (isDue) this.relistTimes = this.relistTimes.filter(time => time > now);
+    return isDue;
   }
 
   private applyRecords(records: readonly KeyedRecord[]): void {
