Pause between listings that lead into the same gap of the history

Callers saw: nothing by itself; the calls of a node took from the store's limit for all nodes. Cause: after a gap the node lists at once, and a listing that is behind the first retained record leads into the gap again, without a pause. Class: a loop whose pause depends on a failure. Change: the pause grows from 0 to 1 s while gap follows gap.

--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -109,6 +109,7 @@
   async run(signal: AbortSignal): Promise<void> {
     let from: number | undefined;
     let retryDelayMs = minRetryDelayMs;
+    let gapDelayMs: Millis = 0;
     while (!signal.aborted) {
       this.pollController = new AbortController();
       const stopSignal = AbortSignal.any([signal, this.pollController.signal]);
@@ -121,6 +122,12 @@
           await this.readNewest(stopSignal);
         } else {
           from = await this.readNext(from, stopSignal);
+          // A listing that is itself behind the history leads into the same gap again.
+          if (from === undefined) await this.clock.sleep(gapDelayMs, signal);
+          gapDelayMs =
+            from === undefined
+              ? Math.min(maxRetryDelayMs, gapDelayMs * 2 + minRetryDelayMs)
+              : 0;
         }
         this.recordReachability(true);
         retryDelayMs = minRetryDelayMs;
