Keep the limits that backend servers name in their answers

Cause: a guard granted by slots and verdict; nobody read the header. Change: the header is decoded in platform/ from each answer that belongs to its request, also from a refusal by the server. All requests for a server start at the guard beside it, so its limit needs no estimate of what other VMs send: src/dispatch holds it as a rate over the queue, in the counts of free slots, the estimates of the wait and the choice of what can no longer be served. A restarted guard is told the limit by every node that knew it. Verdicts are untouched.

--- a/src/bench/mesh_idle.ts
+++ b/src/bench/mesh_idle.ts
@@ -34,6 +34,7 @@
     onPeerUp: handleNothing,
     onPeerDown: handleNothing,
     onGuardChange: handleNothing,
+    onHeard: () => undefined,
     onActiveExchanges: handleNothing,
     onRoutingVersion: handleNothing,
     onRoutingRequest: handleNothing,
--- a/src/dispatch/slot_queue.ts
+++ b/src/dispatch/slot_queue.ts
@@ -1,4 +1,5 @@
 import {Millis, RouteId} from '../base/index.js';
+import {RequestRateLimit} from './request_rate_limit.js';
 
 /** Request for a slot of a backend server; points in time are on the guard's clock. */
 export interface SlotRequest {
@@ -44,6 +45,8 @@
  * by priority and then by the latest start that meets it; late requests use the remaining slots.
  */
 export class SlotQueue<Key> {
+  /** Limit that the server has named; a request takes a slot only within it. */
+  readonly rateLimit = new RequestRateLimit();
   private readonly waiting = new Map<Key, QueuedRequest<Key>>();
   private readonly running = new Map<Key, ActiveRequest>();
   /** Expected durations of the requests that started in time; decays with `loadWindowMs`. */
@@ -68,9 +71,13 @@
     return this.waiting.size;
   }
 
-  /** Free slots and queued requests. */
-  getCounts(): {readonly free: number; readonly waiting: number} {
-    return {free: this.countFree(), waiting: this.countWaiting()};
+  /** Slots that a request could take now, and queued requests. */
+  getCounts(now: Millis): {readonly free: number; readonly waiting: number} {
+    const available = Math.floor(this.rateLimit.countAvailable(now));
+    return {
+      free: Math.min(this.countFree(), available),
+      waiting: this.countWaiting(),
+    };
   }
 
   add(key: Key, request: SlotRequest, now: Millis): void {
@@ -82,7 +89,7 @@
     now: Millis,
     mayRun: (request: SlotRequest) => boolean,
   ): {readonly key: Key; readonly waitedMs: Millis} | undefined {
-    if (this.countFree() === 0) return undefined;
+    if (this.getCounts(now).free === 0) return undefined;
     let best: QueuedRequest<Key> | undefined;
     for (const candidate of this.waiting.values()) {
       if (!mayRun(candidate.request)) continue;
@@ -95,6 +102,7 @@
       this.timelyWorkMs = this.getTimelyWork(now) + best.request.expectedMs;
       this.timelyWorkAt = now;
     }
+    this.rateLimit.recordStart(now);
     this.waiting.delete(best.key);
     this.running.set(best.key, {
       expectedEnd: now + best.request.expectedMs,
@@ -108,6 +116,12 @@
     this.running.delete(key);
   }
 
+  /** Removes a request to which a slot was assigned but that was not sent to the server. */
+  releaseUnused(key: Key, now: Millis): void {
+    if (this.running.has(key)) this.rateLimit.releaseStart(now);
+    this.release(key);
+  }
+
   isWaiting(key: Key): boolean {
     return this.waiting.has(key);
   }
@@ -121,15 +135,17 @@
   }
 
   /**
-   * Queued requests that are unlikely to be answered by their deadline: it is too late to start them, or they are late
-   * and the slots that timely requests leave do not reach them in time.
+   * Queued requests that are unlikely to be answered by their deadline: it is too late to start them, the limit that the
+   * server has named does not reach them in time, or they are late and the slots that timely requests leave do not.
    */
   listUnservable(now: Millis): readonly Key[] {
-    const unservable: Key[] = [];
+    const beyondLimit = new Set(this.listBeyondLimit(now));
+    const unservable: Key[] = [...beyondLimit];
     const late: QueuedRequest<Key>[] = [];
     let aheadMs = this.getRunningWork(now);
     for (const candidate of this.waiting.values()) {
       const {key, request} = candidate;
+      if (beyondLimit.has(key)) continue;
       if (isTooLateToStart(request, now)) unservable.push(key);
       else if (isLate(request, now)) late.push(candidate);
       else aheadMs += request.expectedMs * request.share;
@@ -147,20 +163,38 @@
     return unservable;
   }
 
+  private listBeyondLimit(now: Millis): readonly Key[] {
+    if (this.rateLimit.getAllowedRate() === undefined) return [];
+    const beyond: Key[] = [];
+    let ahead = 0;
+    const queued = [...this.waiting.values()].sort((a, b) =>
+      compareUrgency(a.request, b.request, now),
+    );
+    for (const {key, request} of queued) {
+      const waitMs = this.rateLimit.estimateWait(ahead, now);
+      if (isTooLateToStart(request, now + waitMs)) beyond.push(key);
+      else ahead += request.share;
+    }
+    return beyond;
+  }
+
   /** Estimated wait of a request that is queued or would be queued here. */
   estimateWait(request: SlotRequest, now: Millis): Millis {
-    if (this.countFree() > 0 && this.waiting.size === 0) return 0;
+    if (this.getCounts(now).free > 0 && this.waiting.size === 0) return 0;
     let workMs = this.getRunningWork(now);
+    let ahead = 0;
     for (const other of this.waiting.values()) {
       if (other.request === request) continue;
       if (compareUrgency(other.request, request, now) <= 0) {
         workMs += other.request.expectedMs * other.request.share;
+        ahead += other.request.share;
       }
     }
     const waitMs = workMs / Math.max(1, this.slots);
-    return isLate(request, now + waitMs)
+    const slotWaitMs = isLate(request, now + waitMs)
       ? waitMs / this.getLateFraction(now)
       : waitMs;
+    return Math.max(slotWaitMs, this.rateLimit.estimateWait(ahead, now));
   }
 
   private getRunningWork(now: Millis): Millis {
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -2,18 +2,18 @@
 import {
   BatchingLogger,
   Clock,
-  DataCentreId,
   Logger,
   Millis,
   NodeId,
   Random,
 } from '../base/index.js';
-import {Channel, Link} from './link.js';
+import {KnownNode, makeKnownNode, Peer} from './known_node.js';
+import {Link} from './link.js';
 import {
   encodeMessage,
   EntryMessage,
   GuardMessage,
-  GuardState,
+  HeardNotice,
   MeshMessage,
   NodeMessage,
 } from './messages.js';
@@ -39,20 +39,6 @@
 
 type Hello = Extract<NodeMessage, {kind: 'hello'}>;
 
-/** Another node, reachable or not. */
-export interface Peer {
-  readonly node: NodeId;
-  /** host:port at which the node accepts links. */
-  readonly address: string;
-  readonly dataCentre: DataCentreId;
-  readonly incarnation: number;
-  /** Whether the node had read the node directory when it sent its hello. */
-  readonly isJoined: boolean;
-  readonly guard: GuardState;
-  readonly routingVersion: number;
-  readonly channel: Channel | undefined;
-}
-
 /** Callbacks for messages from peers and changes of their links. */
 export interface MeshHandlers {
   makeHello(): Hello;
@@ -62,41 +48,13 @@
   onPeerUp(peer: Peer, isRestarted: boolean): void;
   onPeerDown(peer: Peer): void;
   onGuardChange(peer: Peer): void;
+  onHeard(peer: Peer, notice: HeardNotice): void;
   onActiveExchanges(peer: Peer, ids: readonly number[]): void;
   onRoutingVersion(peer: Peer, version: number): void;
   onRoutingRequest(peer: Peer, above: number): void;
   onRoutingDocument(peer: Peer, document: Uint8Array): void;
 }
 
-interface KnownNode {
-  readonly node: NodeId;
-  address: string;
-  unreachableSince: Millis;
-  hasDialTask: boolean;
-  /** When the current link was established, and whether this node dialled it. */
-  linkedAt: Millis;
-  isDialled: boolean;
-  peer: Peer | undefined;
-  link: Link | undefined;
-}
-
-function makeKnownNode(
-  node: NodeId,
-  address: string,
-  unreachableSince: Millis,
-): KnownNode {
-  return {
-    node,
-    address,
-    unreachableSince,
-    hasDialTask: false,
-    linkedAt: 0,
-    isDialled: false,
-    peer: undefined,
-    link: undefined,
-  };
-}
-
 /** Maintains a link to every other node; a task per node dials it until the link is up. */
 export class Mesh {
   private readonly nodes = new Map<NodeId, KnownNode>();
@@ -344,6 +302,8 @@
       case 'guard':
         known.peer = {...peer, guard: message.guard};
         return this.handlers.onGuardChange(known.peer);
+      case 'heard':
+        return this.handlers.onHeard(peer, message.notice);
       case 'holding':
         return this.handlers.onActiveExchanges(peer, message.ids);
       case 'version':
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -10,12 +10,35 @@
 } from '../base/index.js';
 import {ServerVerdict} from '../dispatch/index.js';
 
+/** A backend process; a server that starts again under its id is another one. */
+export interface BackendProcess {
+  readonly server: BackendServerId;
+  /** Unix time of the start. */
+  readonly startedAtMs: Millis;
+}
+
+/** Requests a second that a backend process takes from all VMs together. */
+export interface NamedLimit extends BackendProcess {
+  readonly perSecond: number;
+}
+
+/** What a node has heard about the backend server of another one. */
+export interface HeardNotice {
+  readonly limit: NamedLimit;
+}
+
 /** Free slots of a guard's backend server and requests that wait for one, at the time a message is sent. */
 export interface SlotCounts {
   readonly free: number;
   readonly waiting: number;
   /** Newer than the published state, which large fleets get less often; absent from nodes of earlier versions. */
   readonly verdict?: ServerVerdict;
+  /** Limit of the server, time since it was last named, and requests a second that the guard starts at most. */
+  readonly limit?: {
+    readonly perSecond: number;
+    readonly ageMs: Millis;
+    readonly allowedPerSecond: number;
+  };
 }
 
 /** State of a guard and its backend server, as reported to other nodes. */
@@ -27,6 +50,7 @@
       readonly service: ServiceId;
       readonly slots: number;
       readonly verdict: ServerVerdict;
+      readonly limit?: NamedLimit;
     };
 
 /**
@@ -167,6 +191,8 @@
       readonly ids: readonly number[];
     }
   | {readonly kind: 'guard'; readonly guard: GuardState}
+  /** Sent to a restarted node: what its process before had told, so that the new one keeps to it. */
+  | {readonly kind: 'heard'; readonly notice: HeardNotice}
   | {readonly kind: 'ping'}
   | {readonly kind: 'pong'}
   | {readonly kind: 'version'; readonly version: number}
@@ -195,6 +221,7 @@
   'hello',
   'holding',
   'guard',
+  'heard',
   'ping',
   'pong',
   'version',
--- a/src/sidecar/backend_client.ts
+++ b/src/sidecar/backend_client.ts
@@ -9,11 +9,13 @@
 } from '../base/index.js';
 import {ExchangeFailure, RawHeaders} from '../mesh/index.js';
 import {platformHeaders as headerNames} from '../../platform/headers.js';
+import {parseServerNotice} from '../../platform/server_notice.js';
 import {
   BackendConnection,
   BackendConnectionPool,
 } from './backend_connection_pool.js';
 import {findHeader, pickEndToEnd} from './raw_headers.js';
+import {ServerNotice} from './server_notice.js';
 
 /** After a response with the id of another request, connections are not reused for this long. */
 const noReuseMs: Millis = 6000;
@@ -34,6 +36,8 @@
 
 /** Consumes a response as it arrives; `onChunk` resolves when the sink can take more. */
 export interface ResponseSink {
+  /** Receives what an answer of the server says about it, before the head; also for answers that did not run. */
+  onNotice(notice: ServerNotice): void;
   onHead(status: number, headers: RawHeaders): void;
   onChunk(bytes: Buffer): Promise<void> | void;
 }
@@ -103,6 +107,9 @@
     // With `raw`, undici returns the headers as a flat list, contrary to its types.
     const headers = response.headers as unknown as string[];
     const problem = this.findProblem(request, response.statusCode, headers);
+    if (!problem || problem.reason === 'shed') {
+      sink.onNotice(parseServerNotice(headers));
+    }
     if (problem) {
       response.body.on('error', () => undefined).destroy();
       return problem;
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -1,4 +1,5 @@
 import {BackendServerId, Millis, ServiceId} from '../base/index.js';
+import {BackendProcess} from '../mesh/index.js';
 
 /** State that a backend server reports about itself. */
 export interface BackendReport {
@@ -17,10 +18,7 @@
 }
 
 /** A backend process that has announced its shutdown, as persisted in the store. */
-export interface Departure {
-  readonly server: BackendServerId;
-  readonly startedAtMs: Millis;
-}
+export type Departure = BackendProcess;
 
 /** Outcome of applying a report: `stale` and `foreign` reports are rejected. */
 export type ReportResult =
@@ -64,6 +62,13 @@
     this.departure ??= departure;
   }
 
+  /** Whether a process is the one that reported last. */
+  isCurrent({server, startedAtMs}: Departure): boolean {
+    return (
+      this.latest?.server === server && this.latest.startedAtMs === startedAtMs
+    );
+  }
+
   /** Applies a report unless it is foreign or out of date. */
   applyReport(report: BackendReport, now: Millis): ReportResult {
     if (this.address !== undefined && report.address !== this.address) {
@@ -72,7 +77,7 @@
     if (this.isStale(report) && !this.isSuccessor(report, now)) return 'stale';
     this.lastAcceptedAt = now;
     this.candidate = undefined;
-    const isSame = this.isSameProcess(report);
+    const isSame = this.isCurrent(report);
     if (report.phase === 'draining') {
       this.latest = report;
       this.markDeparted(report);
@@ -96,19 +101,12 @@
     this.departure = {server, startedAtMs};
   }
 
-  private isSameProcess(report: BackendReport): boolean {
-    return (
-      this.latest?.server === report.server &&
-      this.latest.startedAtMs === report.startedAtMs
-    );
-  }
-
   /**
    * Whether a process with an earlier start time has nevertheless replaced the current one: the clock may have been set
    * back between the two starts.
    */
   private isSuccessor(report: BackendReport, now: Millis): boolean {
-    if (this.latest && this.isSameProcess(report)) return false;
+    if (this.latest && this.isCurrent(report)) return false;
     const previous = this.candidate;
     const continuesPrevious =
       previous?.report.server === report.server &&
--- a/src/sidecar/exchange_runner.ts
+++ b/src/sidecar/exchange_runner.ts
@@ -8,6 +8,7 @@
 import {BackendClient, BackendOutcome} from './backend_client.js';
 import {BackendReport} from './backend_tracker.js';
 import {Exchange} from './guard_sessions.js';
+import {ServerNotice} from './server_notice.js';
 
 /** Unsent bytes on an entry's link above which reading from the backend server pauses. */
 const maxSendBacklogBytes = 1024 * 1024;
@@ -22,6 +23,10 @@
   constructor(
     localAddress: string,
     private readonly getSlotCounts: () => SlotCounts,
+    private readonly onNotice: (
+      backend: BackendReport,
+      notice: ServerNotice,
+    ) => void,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
@@ -51,6 +56,7 @@
         signal,
       },
       {
+        onNotice: notice => this.onNotice(backend, notice),
         onHead: (status, headers) => {
           const {id} = exchange;
           const seq = exchange.parts.claimSeq();
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -4,17 +4,13 @@
   Logger,
   Millis,
   runEvery,
-  ServiceId,
 } from '../base/index.js';
-import {
-  WindowedRetryBudget,
-  RetryLimits,
-  SlotQueue,
-} from '../dispatch/index.js';
+import {WindowedRetryBudget, SlotQueue} from '../dispatch/index.js';
 import {
   Channel,
   EntryMessage,
   GuardState,
+  HeardNotice,
   SlotCounts,
   SlotRefusal,
 } from '../mesh/index.js';
@@ -28,7 +24,9 @@
   Session,
 } from './guard_sessions.js';
 import {GuardMetrics} from './metrics.js';
+import {GuardContext, makeGuardState} from './guard_state.js';
 import {PartBuffer} from './part_buffer.js';
+import {NoticeTracker} from './server_notice.js';
 import {BackendMonitor} from './backend_monitor.js';
 import {StateUpdateThrottle} from './state_update_throttle.js';
 
@@ -36,23 +34,12 @@
 type RequestMessage = Extract<EntryMessage, {kind: 'request'}>;
 type SendMessage = Extract<EntryMessage, {kind: 'send'}>;
 
-/** What the guard needs from the rest of the node. */
-export interface GuardContext {
-  /** Retry limits for this guard's share of its service. */
-  getRetryLimits(service: ServiceId): RetryLimits;
-  isShuttingDown(): boolean;
-  countPeers(): number;
-  /** Whether the configuration contains a service; reports for other services are foreign to this fleet. */
-  isKnownService(service: ServiceId): boolean;
-  /** Called when the state that is published to other nodes has changed. */
-  onStateChange(state: GuardState): void;
-}
-
 /** Sole proxy to the backend server of this VM: grants its slots, runs requests and monitors its health passively. */
 export class Guard {
   readonly tracker: BackendTracker;
   private readonly queue = new SlotQueue<Exchange>(1);
   private readonly monitor: BackendMonitor;
+  private readonly notices: NoticeTracker;
   private readonly retryBudget = new WindowedRetryBudget();
   private readonly sessions = new GuardSessions();
   private readonly runner: ExchangeRunner;
@@ -67,9 +54,15 @@
   ) {
     this.tracker = new BackendTracker(settings.backendAddress);
     this.monitor = new BackendMonitor();
+    const {rateLimit} = this.queue;
+    this.notices = new NoticeTracker(this.tracker, rateLimit, metrics, logger);
     this.runner = new ExchangeRunner(
       settings.address,
       () => this.getSlotCounts(),
+      (backend, notice) => {
+        this.notices.recordAnswer(backend, notice, clock.getTime());
+        this.publishState();
+      },
       clock,
       logger,
     );
@@ -81,20 +74,12 @@
   }
 
   getState(): GuardState {
-    const backend = this.tracker.getReady();
-    if (this.context.isShuttingDown())
-      return {kind: 'closed', reason: 'leaving'};
-    if (!backend) {
-      const reason = this.tracker.getLatest() ? 'leaving' : 'no-server';
-      return {kind: 'closed', reason};
-    }
-    return {
-      kind: 'open',
-      server: backend.server,
-      service: backend.service,
-      slots: backend.slots,
-      verdict: this.monitor.getVerdict(this.clock.getTime()),
-    };
+    return makeGuardState(
+      this.tracker,
+      this.context.isShuttingDown(),
+      this.monitor.getVerdict(this.clock.getTime()),
+      this.notices.getLimit(),
+    );
   }
 
   countOpen(): number {
@@ -117,6 +102,7 @@
         return false;
       case 'new':
         if (previous?.server !== report.server) this.monitor.reset(now);
+        this.notices.recordNewProcess(now);
         break;
       case 'leaving':
         this.refuseQueued('leaving');
@@ -144,6 +130,12 @@
     if (isPresent) this.stopGranting();
   }
 
+  /** Applies what another node has heard of this VM's backend server. */
+  recordHeard(notice: HeardNotice): void {
+    this.notices.recordHeard(notice, this.clock.getTime());
+    this.publishState();
+  }
+
   /**
    * Binds an entry process to a new link. Returns the ids of the exchanges that this guard received; the entry treats
    * all others as not run, which is safe because the old link is no longer read.
@@ -339,6 +331,7 @@
     }
     for (const {abort} of this.sessions.listAbandonedRuns(now)) abort.abort();
     this.sessions.removeExpired(now);
+    this.notices.reportLimit(now);
     this.grantSlots();
     this.publishState();
   }
@@ -372,17 +365,19 @@
   /** Releases the slot and aborts a run in progress; parts already sent are retained for `partRetentionMs`. */
   private endExchange(exchange: Exchange): void {
     if (exchange.phase === 'ended') return;
-    const wasRunning = exchange.phase === 'running';
     const now = this.clock.getTime();
-    this.queue.release(exchange);
-    if (wasRunning) exchange.abort.abort();
+    if (exchange.phase === 'granted') this.queue.releaseUnused(exchange, now);
+    else this.queue.release(exchange);
+    if (exchange.phase === 'running') exchange.abort.abort();
     exchange.phase = 'ended';
     exchange.phaseStartedAt = now;
   }
 
   private getSlotCounts(): SlotCounts {
-    const verdict = this.monitor.getVerdict(this.clock.getTime());
-    return {...this.queue.getCounts(), verdict};
+    const now = this.clock.getTime();
+    const verdict = this.monitor.getVerdict(now);
+    const limit = this.notices.describeLimit(now);
+    return {...this.queue.getCounts(now), verdict, ...(limit && {limit})};
   }
 
   private publishState(): void {
--- /dev/null
+++ b/src/sidecar/guard_state.ts
@@ -0,0 +1,33 @@
+import {ServiceId} from '../base/index.js';
+import {RetryLimits, ServerVerdict} from '../dispatch/index.js';
+import {GuardState, NamedLimit} from '../mesh/index.js';
+import {BackendTracker} from './backend_tracker.js';
+
+/** What the guard needs from the rest of the node. */
+export interface GuardContext {
+  /** Retry limits for this guard's share of its service. */
+  getRetryLimits(service: ServiceId): RetryLimits;
+  isShuttingDown(): boolean;
+  countPeers(): number;
+  /** Whether the configuration contains a service; reports for other services are foreign to this fleet. */
+  isKnownService(service: ServiceId): boolean;
+  /** Called when the state that is published to other nodes has changed. */
+  onStateChange(state: GuardState): void;
+}
+
+/** Makes the state of a guard that other nodes are told. */
+export function makeGuardState(
+  tracker: BackendTracker,
+  isShuttingDown: boolean,
+  verdict: ServerVerdict,
+  limit: NamedLimit | undefined,
+): GuardState {
+  if (isShuttingDown) return {kind: 'closed', reason: 'leaving'};
+  const backend = tracker.getReady();
+  if (!backend) {
+    const reason = tracker.getLatest() ? 'leaving' : 'no-server';
+    return {kind: 'closed', reason};
+  }
+  const {server, service, slots} = backend;
+  return {kind: 'open', server, service, slots, verdict, limit};
+}
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -1,4 +1,4 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Bucket bounds in seconds, for latencies of 5 ms to 30 s. */
 const latencyBuckets = [
@@ -16,6 +16,9 @@
 export interface GuardMetrics {
   readonly refusals: Counter<'reason'>;
   readonly slotWait: Histogram;
+  /** Requests a second: `named` by the server, `allowed` by the guard; absent without a limit. */
+  readonly serverLimit: Gauge<'kind'>;
+  readonly serverLimitAge: Gauge;
 }
 
 /** Metrics of calls to the platform's store. */
@@ -60,6 +63,17 @@
       buckets: latencyBuckets,
       registers,
     }),
+    serverLimit: new Gauge({
+      name: 'fescuewheel_server_limit_per_second',
+      help: 'Requests a second that the backend server named as its limit, and that its guard starts at most',
+      labelNames: ['kind'],
+      registers,
+    }),
+    serverLimitAge: new Gauge({
+      name: 'fescuewheel_server_limit_age_seconds',
+      help: 'Time since an answer last named the limit of the backend server; 0 without a limit',
+      registers,
+    }),
     calls: new Counter({
       name: 'fescuewheel_store_calls_total',
       help: 'Calls of the platform store by result',
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -22,16 +22,17 @@
   Mesh,
   Peer,
 } from '../mesh/index.js';
+import {SidecarDependencies} from './dependencies.js';
 import {Entry} from './entry.js';
 import {Guard} from './guard.js';
 import {GuardCalls} from './guard_calls.js';
 import {makeSessionName} from './guard_sessions.js';
 import {KnownGuard, listGuardViews} from './guard_views.js';
+import {HeardNotices} from './heard_notices.js';
 import {buildHttpPort} from './http_port.js';
-import {KeyedStore} from './keyed_store.js';
 import {buildMetrics} from './metrics.js';
 import {NodeDirectory} from './node_directory.js';
-import {RoutingFollower, RoutingSource} from './routing_follower.js';
+import {RoutingFollower} from './routing_follower.js';
 import {SidecarSettings} from './settings.js';
 import {Shutdown} from './shutdown.js';
 
@@ -44,21 +45,6 @@
 /** A peer's newer configuration is requested if the store has not delivered it within this time. */
 const routingRequestDelayMs: Millis = 400;
 
-/** Builds the ports that the platform requires; implemented by the platform adapter. */
-export interface PlatformPortBuilders {
-  buildAnnouncementPort(guard: Guard): FastifyInstance;
-  buildReadinessPort(isReady: () => boolean): FastifyInstance;
-}
-
-/** Dependencies of a sidecar node. */
-export interface SidecarDependencies {
-  readonly store: KeyedStore;
-  readonly routingSource: RoutingSource;
-  readonly nodesTopic: string;
-  readonly portBuilders: PlatformPortBuilders;
-  readonly metricsPort: number;
-}
-
 /** The node beside one backend server: entry for the callers of its VM and guard of its backend server. */
 export class SidecarNode {
   private readonly abortController = new AbortController();
@@ -75,6 +61,7 @@
   private readonly localEntry: Channel;
   private readonly httpPorts: FastifyInstance[] = [];
   private readonly shutdown = new Shutdown();
+  private readonly heardNotices = new HeardNotices();
   private readonly batchingLogger: BatchingLogger;
   private isReady = false;
 
@@ -179,7 +166,9 @@
         onGuardChange: ({node: other, guard}) => {
           this.batchingLogger.record('peer guard', {peer: other, guard});
           this.reportSuspicion(other, guard);
+          this.heardNotices.update(other, guard);
         },
+        onHeard: (_peer, notice) => this.guard.recordHeard(notice),
         onActiveExchanges: (peer, ids) =>
           this.calls.onHeldExchanges(peer.node, ids),
         onRoutingVersion: (peer, version) => this.onPeerVersion(peer, version),
@@ -372,7 +361,12 @@
   private onPeerUp(peer: Peer, isRestarted: boolean): void {
     const {channel} = peer;
     if (!channel) return;
-    if (isRestarted) this.calls.onRestart(peer.node);
+    if (isRestarted) {
+      this.calls.onRestart(peer.node);
+      const notice = this.heardNotices.get(peer.node);
+      if (notice) channel.send({kind: 'heard', notice});
+    }
+    this.heardNotices.update(peer.node, peer.guard);
     const name = makeSessionName(peer);
     const ids = this.guard.openSession(name, channel);
     channel.send({kind: 'holding', ids});
--- a/src/sidecar/request_task.ts
+++ b/src/sidecar/request_task.ts
@@ -117,11 +117,8 @@
   }
 
   private getOverdueThreshold(): Millis {
-    const {route} = this.request;
-    return this.context.runDurations.getOverdueThreshold(
-      route.id,
-      route.targetMs,
-    );
+    const {id, targetMs} = this.request.route;
+    return this.context.runDurations.getOverdueThreshold(id, targetMs);
   }
 
   private getNextWakeup(now: Millis): Millis {
@@ -166,9 +163,10 @@
   }
 
   private handle(call: GuardCall, event: CallEvent): void {
+    const now = this.clock.getTime();
     switch (event.kind) {
       case 'queued':
-        return this.search.recordQueued(call, event.waitMs);
+        return this.search.recordQueued(call, event.waitMs, now);
       case 'granted':
         if (this.search.useGrant(call)) this.send(call);
         return;
@@ -176,7 +174,7 @@
         if (this.inFlight.has(call)) return this.recordRevocation(call);
         this.search.recordRefusal(call, event.reason);
         if (event.reason === 'repeat-budget' && this.inFlight.size > 0) {
-          this.endSearch('busy', this.clock.getTime());
+          this.endSearch('busy', now);
         }
         return;
       case 'suspected':
@@ -393,6 +391,7 @@
         expectedMs: Math.round(this.getExpectedRunTime()),
         shortestWaitMs: Math.round(this.search.getShortestWait()),
         lastRefusal: this.search.getLastRefusal(),
+        limits: this.search.getLimitsAtEnd(),
       },
       'request ended',
     );
--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -6,7 +6,7 @@
   rankGuards,
   RunDurationEstimator,
 } from '../dispatch/index.js';
-import {SlotRefusal} from '../mesh/index.js';
+import {SlotCounts, SlotRefusal} from '../mesh/index.js';
 import {CallerRequest} from './caller_request.js';
 import {CallEvent, GuardCall, GuardCalls} from './guard_calls.js';
 import {RoutingRoute} from './routing.js';
@@ -61,10 +61,17 @@
 /** Why a search ended without a slot. */
 export type SearchFailure = 'expired' | 'busy' | 'no-server';
 
+/** Limit of a server as its guard reported it. */
+export type HeardLimit = NonNullable<SlotCounts['limit']> & {
+  readonly guard: NodeId;
+};
+
 interface PendingSlotRequest {
   readonly sentAt: Millis;
   /** Estimated wait; undefined until the guard has replied. */
   waitMs: Millis | undefined;
+  /** When the limit of the server reaches the request; undefined if only the queue before it decides. */
+  limitReachedAt: Millis | undefined;
 }
 
 /** Requests a slot for one request from the best guard, and from further guards while none can grant one at once. */
@@ -76,6 +83,7 @@
   private hopelessRefusals = 0;
   private shortestWaitMs: Millis = 0;
   private lastRefusal: SlotRefusal | 'link-lost' | undefined;
+  private limitsAtEnd: readonly HeardLimit[] | undefined;
 
   constructor(
     private readonly request: CallerRequest,
@@ -101,6 +109,11 @@
     return this.lastRefusal;
   }
 
+  /** Limits of the servers that were asked when the search failed; undefined if there were none. */
+  getLimitsAtEnd(): readonly HeardLimit[] | undefined {
+    return this.limitsAtEnd;
+  }
+
   /** Withdraws all pending slot requests. */
   close(): void {
     this.isOpen = false;
@@ -116,6 +129,18 @@
 
   /** Asks a further guard if that may help; returns the reason if the search should end. */
   advance(now: Millis, isRetry: boolean): SearchFailure | undefined {
+    const failure = this.requestNext(now, isRetry);
+    if (failure) {
+      const limits = this.listLimits();
+      this.limitsAtEnd = limits.length > 0 ? limits : undefined;
+    }
+    return failure;
+  }
+
+  private requestNext(
+    now: Millis,
+    isRetry: boolean,
+  ): SearchFailure | undefined {
     const {deadlineAt} = this.request;
     const remainingMs =
       Math.min(deadlineAt, this.context.getShutdownDeadline()) - now;
@@ -130,15 +155,21 @@
         this.requestSlot(ranked[0], now, isRetry, candidates);
       }
     }
-    if (this.pending.size > 0) return this.checkWait(remainingMs, expectedMs);
+    if (this.pending.size > 0) {
+      return this.checkWait(remainingMs, expectedMs, now);
+    }
+    if (this.hopelessRefusals > 0) return 'busy';
     const waitedMs = now - this.request.receivedAt;
     return waitedMs >= noServerTimeoutMs || isRetry ? 'no-server' : undefined;
   }
 
   /** Records a guard's estimate of the wait. */
-  recordQueued(call: GuardCall, waitMs: Millis): void {
+  recordQueued(call: GuardCall, waitMs: Millis, now: Millis): void {
     const pendingRequest = this.pending.get(call);
-    if (pendingRequest) pendingRequest.waitMs = waitMs;
+    if (!pendingRequest) return;
+    const {limit} = this.context.calls.getReportedSlots(call.node) ?? {};
+    pendingRequest.waitMs = waitMs;
+    pendingRequest.limitReachedAt = limit ? now + waitMs : undefined;
   }
 
   recordRefusal(call: GuardCall, reason: SlotRefusal | 'link-lost'): void {
@@ -156,6 +187,15 @@
     return true;
   }
 
+  private listLimits(): readonly HeardLimit[] {
+    const limits: HeardLimit[] = [];
+    for (const {node} of this.pending.keys()) {
+      const limit = this.context.calls.getReportedSlots(node)?.limit;
+      if (limit) limits.push({guard: node, ...limit});
+    }
+    return limits;
+  }
+
   private getExpectedRunTime(): Millis {
     return estimateRunTime(this.context.runDurations, this.request.route);
   }
@@ -210,7 +250,11 @@
       },
       this.onEvent,
     );
-    this.pending.set(call, {sentAt: now, waitMs: undefined});
+    this.pending.set(call, {
+      sentAt: now,
+      waitMs: undefined,
+      limitReachedAt: undefined,
+    });
   }
 
   /** Whether a guard in the same data centre is likely to grant a slot soon, which keeps the response local. */
@@ -230,8 +274,11 @@
   private checkWait(
     remainingMs: Millis,
     expectedMs: Millis,
+    now: Millis,
   ): SearchFailure | undefined {
-    const waits = [...this.pending.values()].map(({waitMs}) => waitMs);
+    const waits = [...this.pending.values()].map(({waitMs, limitReachedAt}) =>
+      limitReachedAt === undefined ? waitMs : Math.max(0, limitReachedAt - now),
+    );
     if (waits.some(wait => wait === undefined)) return undefined;
     this.shortestWaitMs = Math.min(...waits.map(wait => wait ?? 0));
     const waitMs = this.shortestWaitMs * countedWaitFraction;
--- a/src/sidecar/state_update_throttle.ts
+++ b/src/sidecar/state_update_throttle.ts
@@ -1,10 +1,10 @@
 import {Millis} from '../base/index.js';
 import {GuardState} from '../mesh/index.js';
 
-/** Minimum interval between two updates that differ only in the verdict. */
-const minVerdictIntervalMs: Millis = 300;
+/** Minimum interval between two updates that differ only in the verdict or the figure of a limit. */
+const minFigureIntervalMs: Millis = 300;
 /** Lengthens that interval per peer, so that a node receives at most 125 such updates a second from all others. */
-const verdictIntervalPerPeerMs: Millis = 8;
+const figureIntervalPerPeerMs: Millis = 8;
 
 /** Limits how often changes of a guard's state are published to all nodes. */
 export class StateUpdateThrottle {
@@ -18,15 +18,19 @@
   admit(state: GuardState, peers: number, now: Millis): boolean {
     const {lastSent} = this;
     if (lastSent && isSameState(lastSent, state)) return false;
-    const isVerdictOnly =
+    const isFigureOnly =
       lastSent?.kind === 'open' &&
       state.kind === 'open' &&
-      isSameState({...lastSent, verdict: state.verdict}, state);
+      (lastSent.limit === undefined) === (state.limit === undefined) &&
+      isSameState(
+        {...lastSent, verdict: state.verdict, limit: state.limit},
+        state,
+      );
     const intervalMs = Math.max(
-      minVerdictIntervalMs,
-      peers * verdictIntervalPerPeerMs,
+      minFigureIntervalMs,
+      peers * figureIntervalPerPeerMs,
     );
-    if (isVerdictOnly && now - this.lastSentAt < intervalMs) return false;
+    if (isFigureOnly && now - this.lastSentAt < intervalMs) return false;
     this.lastSent = state;
     this.lastSentAt = now;
     return true;
@@ -41,6 +45,7 @@
     a.server === b.server &&
     a.service === b.service &&
     a.slots === b.slots &&
-    a.verdict === b.verdict
+    a.verdict === b.verdict &&
+    a.limit?.perSecond === b.limit?.perSecond
   );
 }
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -5,6 +5,7 @@
   encodeKeyedRecord,
   parseHeartbeat,
   parseOperatorConfig,
+  parseServerNotice,
   parseSettings,
 } from '../../platform/index.js';
 
@@ -116,6 +117,20 @@
   t.true(E.isLeft(parse({...config, routes})));
 });
 
+for (const [text, limit] of [
+  ['2.5', {kind: 'named', perSecond: 2.5}],
+  ['0', {kind: 'named', perSecond: 0}],
+  ['many', {kind: 'malformed', text: 'many'}],
+  ['-1', {kind: 'malformed', text: '-1'}],
+  ['1e9', {kind: 'malformed', text: '1e9'}],
+  ['', {kind: 'malformed', text: ''}],
+] as const) {
+  test(`a limit of "${text}" in an answer is ${limit.kind}`, t => {
+    const notice = parseServerNotice(['Server-Limit', text]);
+    t.deepEqual(notice, {limit});
+  });
+}
+
 test('keyed records are unchanged after encoding and decoding', t => {
   const header = Buffer.alloc(16);
   const page = decodePage(
--- a/test/platform/backend_client.test.ts
+++ b/test/platform/backend_client.test.ts
@@ -41,6 +41,7 @@
   const {port} = server.address() as AddressInfo;
   let body = '';
   const outcome = await client.run(makeRequest(`127.0.0.1:${port}`), {
+    onNotice: () => undefined,
     onHead: () => undefined,
     onChunk: bytes => {
       body += bytes.toString();
@@ -108,6 +109,7 @@
   const {outcome} = await run(t, socket => socket.resetAndDestroy(), client);
   t.true(outcome.kind === 'failed' && outcome.mayHaveRun);
   const refused = await client.run(makeRequest('127.0.0.1:1'), {
+    onNotice: () => undefined,
     onHead: () => undefined,
     onChunk: () => undefined,
   });
--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -12,6 +12,10 @@
   getWorkMs: (path: string) => number = () => this.workMs;
   /** Port in the heartbeats; differs from `port` if a relay is placed before the server. */
   announcedPort: number;
+  /** Requests a second that the answers name as the limit of the server, as text. */
+  limit: string | undefined;
+  /** When each request arrived, also those that were not run. */
+  readonly arrivals: number[] = [];
   makeBody: (requestId: string) => string = () => 'the whole body';
   /** Called when a run starts. */
   onRun: (request: IncomingMessage, requestId: string) => void = () =>
@@ -88,8 +92,10 @@
       response.writeHead(421, {[platformHeaders.serverId]: this.id}).end();
       return;
     }
+    this.arrivals.push(Date.now());
     if (this.mode === 'shed') {
-      response.writeHead(503, {[platformHeaders.notRun]: '1'}).end();
+      const headers = {...this.makeNotices(id), [platformHeaders.notRun]: '1'};
+      response.writeHead(503, headers).end();
       return;
     }
     this.runs.push(id);
@@ -107,10 +113,17 @@
     );
   }
 
+  private makeNotices(id: string): Record<string, string> {
+    return {
+      [platformHeaders.requestId]: id,
+      ...(this.limit === undefined ? {} : {'server-limit': this.limit}),
+    };
+  }
+
   private finish(id: string, response: ServerResponse): void {
     const body = this.makeBody(id);
     response.writeHead(this.mode === 'error' ? 500 : 200, {
-      [platformHeaders.requestId]: id,
+      ...this.makeNotices(id),
       [platformHeaders.signature]: `s.${this.id}`,
       'content-length': Buffer.byteLength(body),
     });
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -71,6 +71,7 @@
       signal: controller.signal,
     },
     {
+      onNotice: () => undefined,
       onHead: () => undefined,
       onChunk: bytes => {
         if (body.length < 100) body += bytes.toString();
--- a/test/platform/test_fleet.ts
+++ b/test/platform/test_fleet.ts
@@ -108,6 +108,16 @@
     await this.waitForGuards(count);
   }
 
+  /** Kills the node of a VM and starts another process in its place; the backend server runs on and sends no report. */
+  async restartNode(t: ExecutionContext, index: number): Promise<void> {
+    const {settings, backend, node: killed} = this.vms[index];
+    killed.abort();
+    const node = this.buildNode(settings);
+    this.vms[index] = {node, settings, backend};
+    t.teardown(() => node.abort());
+    await node.start();
+  }
+
   async addVm(t: ExecutionContext): Promise<Vm> {
     const index = this.vms.length + 1;
     const host = `127.0.1.${index}`;
@@ -130,10 +140,27 @@
       graceMs: 4000,
       repeats: {ratio: 0.2, windowMs: 10_000, extra: 50},
     };
-    const node = new SidecarNode(
+    const node = this.buildNode(settings);
+    const backend = new BackendStandIn(
+      `s${index}`,
+      'bench',
+      host,
+      this.basePort,
+      `http://${host}:${this.basePort + 3}`,
+    );
+    await backend.start();
+    const vm = {node, settings, backend};
+    this.vms.push(vm);
+    t.teardown(() => node.abort());
+    await node.start();
+    return vm;
+  }
+
+  private buildNode(settings: SidecarSettings): SidecarNode {
+    return new SidecarNode(
       settings,
       {
-        store: createLogStore(this.storeUrl, host),
+        store: createLogStore(settings.storeUrl, settings.address),
         routingSource: {
           topic: operatorTopic,
           key: operatorConfigKey,
@@ -154,19 +181,6 @@
       systemClock,
       openSilentLogger(),
     );
-    const backend = new BackendStandIn(
-      `s${index}`,
-      'bench',
-      host,
-      this.basePort,
-      `http://${host}:${this.basePort + 3}`,
-    );
-    await backend.start();
-    const vm = {node, settings, backend};
-    this.vms.push(vm);
-    t.teardown(() => node.abort());
-    await node.start();
-    return vm;
   }
 
   async announce(): Promise<void> {
