Stop the use of a server as soon as one of its answers says that it leaves

Servers saw: requests after an answer with the mark of leaving, until their report or deregistration arrived; after a restart of the node beside them also when the store could not be read, or when a late report came before the departure had been read. Cause: departures were taken from reports only, and a departure that was loaded later did not end the use of a server that had already reported. Class: a belief of one process that nobody restores. Change: an answer that says so counts as a deregistration of the process that gave it; every node keeps the departures that guards tell and passes them to a restarted guard; a departure from the store or a node ends the use of its process at any time.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -11,6 +11,7 @@
   'peer silent; link ended',
   'backend server report',
   'backend server said goodbye',
+  'backend server leaves',
   'server limit',
   'configuration in force',
   'platform store lost; going on as it was',
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -24,7 +24,9 @@
 
 /** What a node has heard about the backend server of another one. */
 export interface HeardNotice {
-  readonly limit: NamedLimit;
+  /** Process that has announced its shutdown. */
+  readonly departure?: BackendProcess;
+  readonly limit?: NamedLimit;
 }
 
 /** Free slots of a guard's backend server and requests that wait for one, at the time a message is sent. */
@@ -43,7 +45,11 @@
 
 /** State of a guard and its backend server, as reported to other nodes. */
 export type GuardState =
-  | {readonly kind: 'closed'; readonly reason: 'no-server' | 'leaving'}
+  | {
+      readonly kind: 'closed';
+      readonly reason: 'no-server' | 'leaving';
+      readonly departure?: BackendProcess;
+    }
   | {
       readonly kind: 'open';
       readonly server: BackendServerId;
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -57,9 +57,18 @@
     return this.departure;
   }
 
-  /** Restores the departure that an earlier process of this node acknowledged. */
-  loadDeparture(departure: Departure): void {
-    this.departure ??= departure;
+  /**
+   * Records the departure of a process that this node, one before it or another node has heard of; returns whether it
+   * ends the use of the current process.
+   */
+  recordDeparture(departure: Departure): boolean {
+    const known = this.departure;
+    if (!known || known.startedAtMs < departure.startedAtMs) {
+      this.departure = departure;
+    }
+    if (this.hasLeft || !this.isCurrent(departure)) return false;
+    this.hasLeft = true;
+    return true;
   }
 
   /** Whether a process is the one that reported last. */
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -59,10 +59,10 @@
     this.runner = new ExchangeRunner(
       settings.address,
       () => this.getSlotCounts(),
-      (backend, notice) => {
-        this.notices.recordAnswer(backend, notice, clock.getTime());
-        this.publishState();
-      },
+      (backend, notice) =>
+        this.onNotice(
+          this.notices.recordAnswer(backend, notice, clock.getTime()),
+        ),
       clock,
       logger,
     );
@@ -130,10 +130,15 @@
     if (isPresent) this.stopGranting();
   }
 
-  /** Applies what another node has heard of this VM's backend server. */
-  recordHeard(notice: HeardNotice): void {
-    this.notices.recordHeard(notice, this.clock.getTime());
-    this.publishState();
+  /** Applies what another node, or a process of this one before it, has heard of this VM's backend server. */
+  recordHeard(notice: HeardNotice, source: 'peer' | 'store'): void {
+    const now = this.clock.getTime();
+    this.onNotice(this.notices.recordHeard(notice, source, now));
+  }
+
+  private onNotice(isLeaving: boolean): void {
+    if (isLeaving) this.stopGranting();
+    else this.publishState();
   }
 
   /**
--- a/src/sidecar/guard_state.ts
+++ b/src/sidecar/guard_state.ts
@@ -22,11 +22,12 @@
   verdict: ServerVerdict,
   limit: NamedLimit | undefined,
 ): GuardState {
-  if (isShuttingDown) return {kind: 'closed', reason: 'leaving'};
+  const departure = tracker.getDeparture();
+  if (isShuttingDown) return {kind: 'closed', reason: 'leaving', departure};
   const backend = tracker.getReady();
   if (!backend) {
     const reason = tracker.getLatest() ? 'leaving' : 'no-server';
-    return {kind: 'closed', reason};
+    return {kind: 'closed', reason, departure};
   }
   const {server, service, slots} = backend;
   return {kind: 'open', server, service, slots, verdict, limit};
--- a/src/sidecar/heard_notices.ts
+++ b/src/sidecar/heard_notices.ts
@@ -2,7 +2,7 @@
 import {GuardState, HeardNotice} from '../mesh/index.js';
 
 /**
- * What other guards have told about limits of their backend servers. The process of a guard forgets them
+ * What other guards have told about limits and departures of their backend servers. The process of a guard forgets them
  * when it restarts, and the store may be away at that time; every node that knows them tells the new process.
  */
 export class HeardNotices {
@@ -20,6 +20,9 @@
         else this.byNode.delete(node);
         return;
       case 'closed':
+        if (guard.departure) {
+          this.byNode.set(node, {departure: guard.departure});
+        }
         return;
     }
   }
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -16,6 +16,7 @@
 export interface GuardMetrics {
   readonly refusals: Counter<'reason'>;
   readonly slotWait: Histogram;
+  readonly departures: Counter<'source'>;
   /** Requests a second: `named` by the server, `allowed` by the guard; absent without a limit. */
   readonly serverLimit: Gauge<'kind'>;
   readonly serverLimitAge: Gauge;
@@ -63,6 +64,12 @@
       buckets: latencyBuckets,
       registers,
     }),
+    departures: new Counter({
+      name: 'fescuewheel_departures_heard_total',
+      help: 'Departures of the backend server that did not come from its reports, by source',
+      labelNames: ['source'],
+      registers,
+    }),
     serverLimit: new Gauge({
       name: 'fescuewheel_server_limit_per_second',
       help: 'Requests a second that the backend server named as its limit, and that its guard starts at most',
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -168,7 +168,7 @@
           this.reportSuspicion(other, guard);
           this.heardNotices.update(other, guard);
         },
-        onHeard: (_peer, notice) => this.guard.recordHeard(notice),
+        onHeard: (_peer, notice) => this.guard.recordHeard(notice, 'peer'),
         onActiveExchanges: (peer, ids) =>
           this.calls.onHeldExchanges(peer.node, ids),
         onRoutingVersion: (peer, version) => this.onPeerVersion(peer, version),
@@ -277,7 +277,7 @@
     );
     for (const {node: other, address, departure} of entries) {
       if (other !== node) this.mesh.addNode(other, address);
-      else if (departure) this.guard.tracker.loadDeparture(departure);
+      else if (departure) this.guard.recordHeard({departure}, 'store');
     }
   }
 
--- a/src/sidecar/server_notice.ts
+++ b/src/sidecar/server_notice.ts
@@ -10,9 +10,10 @@
     | {readonly kind: 'none'}
     | {readonly kind: 'named'; readonly perSecond: number}
     | {readonly kind: 'malformed'; readonly text: string};
+  readonly isLeaving: boolean;
 }
 
-/** Applies the limits that a backend server names in its answers, directly or through other nodes. */
+/** Applies the limits and departures that a backend server names in its answers, directly or through other nodes. */
 export class NoticeTracker {
   private limit: NamedLimit | undefined;
   private limitHeardAt: Millis = 0;
@@ -50,13 +51,13 @@
     } else serverLimit.reset();
   }
 
-  /** Applies an answer of a backend process. */
+  /** Applies an answer of a backend process; returns whether it says for the first time that the process leaves. */
   recordAnswer(
     backend: BackendReport,
-    {limit}: ServerNotice,
+    {limit, isLeaving}: ServerNotice,
     now: Millis,
-  ): void {
-    if (!this.tracker.isCurrent(backend)) return;
+  ): boolean {
+    if (!this.tracker.isCurrent(backend)) return false;
     switch (limit.kind) {
       case 'none':
         this.setLimit(undefined, now);
@@ -70,12 +71,18 @@
           'limit in an answer ignored: not a decimal number',
         );
     }
+    return isLeaving && this.recordDeparture(backend, 'answer');
   }
 
-  /** Applies what another node has heard. */
-  recordHeard({limit}: HeardNotice, now: Millis): void {
+  /** Applies what another node has heard; returns whether the current process turns out to be leaving. */
+  recordHeard(
+    {departure, limit}: HeardNotice,
+    source: 'peer' | 'store',
+    now: Millis,
+  ): boolean {
     if (limit) this.pendingLimit = limit;
     this.applyPendingLimit(now);
+    return departure !== undefined && this.recordDeparture(departure, source);
   }
 
   /** Starts anew with another backend process. */
@@ -84,6 +91,18 @@
     this.applyPendingLimit(now);
   }
 
+  private recordDeparture(
+    {server, startedAtMs}: Pick<BackendReport, 'server' | 'startedAtMs'>,
+    source: 'answer' | 'peer' | 'store',
+  ): boolean {
+    const isNews = this.tracker.recordDeparture({server, startedAtMs});
+    if (isNews) {
+      this.metrics.departures.inc({source});
+      this.logger.info({server, startedAtMs, source}, 'backend server leaves');
+    }
+    return isNews;
+  }
+
   private applyPendingLimit(now: Millis): void {
     const backend = this.tracker.getReady();
     const {pendingLimit} = this;
--- a/src/sidecar/state_update_throttle.ts
+++ b/src/sidecar/state_update_throttle.ts
@@ -39,7 +39,13 @@
 
 function isSameState(a: GuardState, b: GuardState): boolean {
   if (a.kind === 'closed' || b.kind === 'closed') {
-    return a.kind === 'closed' && b.kind === 'closed' && a.reason === b.reason;
+    return (
+      a.kind === 'closed' &&
+      b.kind === 'closed' &&
+      a.reason === b.reason &&
+      a.departure?.startedAtMs === b.departure?.startedAtMs &&
+      a.departure?.server === b.departure?.server
+    );
   }
   return (
     a.server === b.server &&
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -127,10 +127,17 @@
 ] as const) {
   test(`a limit of "${text}" in an answer is ${limit.kind}`, t => {
     const notice = parseServerNotice(['Server-Limit', text]);
-    t.deepEqual(notice, {limit});
+    t.deepEqual(notice, {limit, isLeaving: false});
   });
 }
 
+test('an answer without a limit lifts it, and one with the mark of leaving says so', t => {
+  t.deepEqual(parseServerNotice(['Server-Leaving', '1']), {
+    limit: {kind: 'none'},
+    isLeaving: true,
+  });
+});
+
 test('keyed records are unchanged after encoding and decoding', t => {
   const header = Buffer.alloc(16);
   const page = decodePage(
--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -14,6 +14,8 @@
   announcedPort: number;
   /** Requests a second that the answers name as the limit of the server, as text. */
   limit: string | undefined;
+  /** Whether the answers say that the server is leaving. */
+  isLeaving = false;
   /** When each request arrived, also those that were not run. */
   readonly arrivals: number[] = [];
   makeBody: (requestId: string) => string = () => 'the whole body';
@@ -117,6 +119,7 @@
     return {
       [platformHeaders.requestId]: id,
       ...(this.limit === undefined ? {} : {'server-limit': this.limit}),
+      ...(this.isLeaving ? {'server-leaving': '1'} : {}),
     };
   }
 
--- a/test/platform/server_notices.test.ts
+++ b/test/platform/server_notices.test.ts
@@ -121,3 +121,44 @@
     t.true(most <= countAllowed(1), `${most} requests`);
   },
 );
+
+test.serial(
+  'a server that says in an answer that it leaves gets no more requests',
+  async t => {
+    const fleet = new TestFleet();
+    await fleet.start(t, 2);
+    const [{backend}] = fleet.vms;
+    backend.isLeaving = true;
+    await sendSteadily(fleet, 2, 50);
+    t.true(backend.runs.length > 0);
+    await backend.announce();
+    const before = backend.arrivals.length;
+    const answers = await sendSteadily(fleet, 30, 1000);
+    t.is(backend.arrivals.length, before);
+    t.true(answers.every(({status}) => status === 200));
+  },
+);
+
+test.serial(
+  'a server that said it leaves gets no requests after a restart of its node while the store is away',
+  async t => {
+    const fleet = new TestFleet();
+    await fleet.start(t, 2);
+    const [{backend}] = fleet.vms;
+    fleet.store.mode = 'busy';
+    backend.isLeaving = true;
+    await sendSteadily(fleet, 2, 50);
+    t.true(backend.runs.length > 0);
+    const restarted = fleet.restartNode(t, 0);
+    await systemClock.sleep(2500);
+    await backend.announce();
+    const before = backend.arrivals.length;
+    const answers = await Promise.all(
+      Array.from({length: 20}, () => fleet.send(fleet.vms[1], '/safe/x')),
+    );
+    t.is(backend.arrivals.length, before);
+    t.true(answers.some(({status}) => status === 200));
+    fleet.store.mode = 'ok';
+    await restarted;
+  },
+);
--- a/test/sidecar/backend_tracker.test.ts
+++ b/test/sidecar/backend_tracker.test.ts
@@ -58,7 +58,7 @@
 
 test('a departure stored by an earlier process of the node applies to the next one', t => {
   const tracker = new BackendTracker(address);
-  tracker.loadDeparture({
+  tracker.recordDeparture({
     server: asId<BackendServerId>('s1'),
     startedAtMs: 1000,
   });
@@ -70,6 +70,25 @@
   t.is(tracker.applyReport(successor, 0), 'new');
 });
 
+test('a departure that becomes known after a late report of its server ends the use of the server', t => {
+  const tracker = new BackendTracker(address);
+  const departure = {server: asId<BackendServerId>('s1'), startedAtMs: 1000};
+  tracker.applyReport(makeReport({startedAtMs: 1000, sequence: 9}), 0);
+  t.true(tracker.recordDeparture(departure));
+  t.is(tracker.getReady(), undefined);
+  t.false(tracker.recordDeparture(departure));
+  const late = makeReport({startedAtMs: 1000, sequence: 10});
+  t.is(tracker.applyReport(late, 0), 'stale');
+});
+
+test('a departure of an earlier process leaves the current one in use', t => {
+  const tracker = new BackendTracker(address);
+  tracker.applyReport(makeReport({startedAtMs: 2000}), 0);
+  const departure = {server: asId<BackendServerId>('s1'), startedAtMs: 1000};
+  t.false(tracker.recordDeparture(departure));
+  t.not(tracker.getReady(), undefined);
+});
+
 test('a server that deregisters without draining gets no more requests', t => {
   const tracker = new BackendTracker(address);
   tracker.applyReport(makeReport(), 0);
