Share the polls of the configuration among the nodes

Change: the longest wait grows with the number of nodes, so that a poll ends each 0.4 s on average somewhere; whoever finds its connection silent tells the others what it then reads. Listings are repeated only after a node lost its place, not after its start.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -81,6 +81,7 @@
         this.entry.setRouting(routing);
         this.mesh.publish({kind: 'version', version: routing.version});
       },
+      () => this.mesh.countNodes(),
       this.metrics,
       clock,
       Math.random,
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -12,19 +12,26 @@
 import {Routing} from './routing.js';
 
 /**
- * Longest wait of a poll. A connection may go silent without a reset, at all nodes at once, and the poll is what shows it:
- * wait, response margin and a new listing together stay below the 3 s after which a disturbed VM must be up to date.
+ * Bounds of the longest wait of a poll. A connection may go silent without a reset, at all nodes at once, and the end of a
+ * poll is what shows it: at the lower bound, the wait, its margin and a new listing together stay below the 3 s after which
+ * a disturbed VM must be up to date.
  */
-const maxPollWaitMs: Millis = 2000;
+const minPollWaitMs: Millis = 2000;
+const maxPollWaitMs: Millis = 15_000;
+/**
+ * Mean time between the ends of two polls in the fleet. The node that finds its connection silent reads the newest version
+ * and tells the others, so that more nodes need not poll more often together.
+ */
+const fleetPollIntervalMs: Millis = 400;
 /** Shortest wait, as a fraction of the longest; the spread keeps nodes that a change woke together from polling in step. */
-const minPollWaitFraction = 0.75;
+const minPollWaitFraction = 0.05;
 /** Pause after an update, so that changes in quick succession are read together. */
 const coalesceDelayMs: Millis = 250;
 /**
- * Times after a first listing at which the newest records are listed again: listings may lag behind by seconds after the
- * platform dropped its history, and a change that was made meanwhile is in no page that can still be read.
+ * Times at which the newest records are listed again after the node lost its place in the history: listings may lag behind
+ * by seconds after the platform dropped it, and a change that was made meanwhile is in no page that can still be read.
  */
-const relistDelaysMs: readonly Millis[] = [1500, 4000, 6500];
+const relistDelaysMs: readonly Millis[] = [4000, 6500];
 const minRetryDelayMs: Millis = 200;
 const maxRetryDelayMs: Millis = 1000;
 
@@ -48,6 +55,7 @@
     private readonly store: KeyedStore,
     private readonly source: RoutingSource,
     private readonly onChange: (routing: Routing) => void,
+    private readonly countNodes: () => number,
     private readonly metrics: StoreMetrics,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -110,13 +118,16 @@
     let from: number | undefined;
     let retryDelayMs = minRetryDelayMs;
     let gapDelayMs: Millis = 0;
+    let hasListed = false;
     while (!signal.aborted) {
       this.pollController = new AbortController();
       const stopSignal = AbortSignal.any([signal, this.pollController.signal]);
       try {
         if (from === undefined) {
           from = await this.readNewest(stopSignal);
-          this.scheduleRelists();
+          // A node that starts also gets the newest version from its peers.
+          if (hasListed) this.scheduleRelists();
+          hasListed = true;
         } else if (this.claimRelist()) {
           // Following goes on where it was: the end offset of this listing may be past records not yet read.
           await this.readNewest(stopSignal);
@@ -180,12 +191,16 @@
   }
 
   private choosePollWait(): Millis {
+    const longestMs = Math.min(
+      maxPollWaitMs,
+      Math.max(minPollWaitMs, this.countNodes() * fleetPollIntervalMs),
+    );
     const fraction =
       minPollWaitFraction + (1 - minPollWaitFraction) * this.random();
     const untilRelistMs =
       (this.relistTimes.at(0) ?? Infinity) - this.clock.getTime();
     return Math.round(
-      Math.max(0, Math.min(maxPollWaitMs * fraction, untilRelistMs)),
+      Math.max(0, Math.min(longestMs * fraction, untilRelistMs)),
     );
   }
 
