Publish a guard's state only when a notice changed it; prefer answers heard here

A limit heard from another node could replace what the server had itself answered since the restart, until its next answer, and each answer made the guard compare its state. NoticeTracker now says what a notice changed.

--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -26,7 +26,7 @@
 import {GuardMetrics} from './metrics.js';
 import {GuardContext, makeGuardState} from './guard_state.js';
 import {PartBuffer} from './part_buffer.js';
-import {NoticeTracker} from './server_notice.js';
+import {NoticeEffect, NoticeTracker} from './server_notice.js';
 import {BackendMonitor} from './backend_monitor.js';
 import {StateUpdateThrottle} from './state_update_throttle.js';
 
@@ -136,9 +136,15 @@
     this.onNotice(this.notices.recordHeard(notice, source, now));
   }
 
-  private onNotice(isLeaving: boolean): void {
-    if (isLeaving) this.stopGranting();
-    else this.publishState();
+  private onNotice(effect: NoticeEffect): void {
+    switch (effect) {
+      case 'none':
+        return;
+      case 'limit-changed':
+        return this.publishState();
+      case 'departed':
+        return this.stopGranting();
+    }
   }
 
   /**
@@ -196,12 +202,9 @@
 
   /** Ends waiting and granted exchanges after the link was lost: their requests have not arrived and no longer can. */
   private endUnsentExchanges(name: string): void {
-    const {exchanges} = this.sessions.getOrCreate(name);
-    for (const exchange of [...exchanges.values()]) {
-      if (exchange.phase !== 'waiting' && exchange.phase !== 'granted')
-        continue;
+    for (const exchange of this.sessions.listUnsent(name)) {
       this.endExchange(exchange);
-      exchanges.delete(exchange.id);
+      exchange.session.exchanges.delete(exchange.id);
     }
   }
 
--- a/src/sidecar/guard_sessions.ts
+++ b/src/sidecar/guard_sessions.ts
@@ -75,6 +75,13 @@
     return session;
   }
 
+  /** Waiting and granted exchanges of one session, whose requests have not arrived. */
+  listUnsent(name: string): readonly Exchange[] {
+    return [...this.getOrCreate(name).exchanges.values()].filter(
+      ({phase}) => phase === 'waiting' || phase === 'granted',
+    );
+  }
+
   /** Granted slots that their entries have not used in time. */
   listExpiredGrants(now: Millis): readonly Exchange[] {
     return this.listExchanges().filter(
--- a/src/sidecar/server_notice.ts
+++ b/src/sidecar/server_notice.ts
@@ -13,12 +13,16 @@
   readonly isLeaving: boolean;
 }
 
+/** What a notice has changed; `departed`: the current process of the backend server turns out to be leaving. */
+export type NoticeEffect = 'none' | 'limit-changed' | 'departed';
+
 /** Applies the limits and departures that a backend server names in its answers, directly or through other nodes. */
 export class NoticeTracker {
   private limit: NamedLimit | undefined;
   private limitHeardAt: Millis = 0;
-  /** Limit that another node has heard, until the process that named it has reported here. */
+  /** Limit that another node has heard, until the process that named it has reported or answered here. */
   private pendingLimit: NamedLimit | undefined;
+  private hasAnswered = false;
 
   constructor(
     private readonly tracker: BackendTracker,
@@ -51,42 +55,44 @@
     } else serverLimit.reset();
   }
 
-  /** Applies an answer of a backend process; returns whether it says for the first time that the process leaves. */
+  /** Applies an answer of a backend process. */
   recordAnswer(
     backend: BackendReport,
     {limit, isLeaving}: ServerNotice,
     now: Millis,
-  ): boolean {
-    if (!this.tracker.isCurrent(backend)) return false;
+  ): NoticeEffect {
+    if (!this.tracker.isCurrent(backend)) return 'none';
+    this.hasAnswered = true;
+    this.pendingLimit = undefined;
+    if (isLeaving && this.recordDeparture(backend, 'answer')) return 'departed';
     switch (limit.kind) {
       case 'none':
-        this.setLimit(undefined, now);
-        break;
+        return this.setLimit(undefined, now);
       case 'named':
-        this.setLimit(makeLimit(backend, limit.perSecond), now);
-        break;
+        return this.setLimit(makeLimit(backend, limit.perSecond), now);
       case 'malformed':
         this.logger.warn(
           {server: backend.server, text: limit.text},
           'limit in an answer ignored: not a decimal number',
         );
+        return 'none';
     }
-    return isLeaving && this.recordDeparture(backend, 'answer');
   }
 
-  /** Applies what another node has heard; returns whether the current process turns out to be leaving. */
+  /** Applies what another node has heard; a limit only until this node hears an answer itself. */
   recordHeard(
     {departure, limit}: HeardNotice,
     source: 'peer' | 'store',
     now: Millis,
-  ): boolean {
-    if (limit) this.pendingLimit = limit;
-    this.applyPendingLimit(now);
-    return departure !== undefined && this.recordDeparture(departure, source);
+  ): NoticeEffect {
+    if (departure && this.recordDeparture(departure, source)) return 'departed';
+    if (limit && !this.hasAnswered) this.pendingLimit = limit;
+    return this.applyPendingLimit(now);
   }
 
   /** Starts anew with another backend process. */
   recordNewProcess(now: Millis): void {
+    this.hasAnswered = false;
     this.setLimit(undefined, now);
     this.applyPendingLimit(now);
   }
@@ -103,24 +109,21 @@
     return isNews;
   }
 
-  private applyPendingLimit(now: Millis): void {
-    const backend = this.tracker.getReady();
+  private applyPendingLimit(now: Millis): NoticeEffect {
     const {pendingLimit} = this;
-    if (!backend || !pendingLimit) return;
-    if (
-      this.limit === undefined &&
-      pendingLimit.server === backend.server &&
-      pendingLimit.startedAtMs === backend.startedAtMs
-    ) {
-      this.setLimit(pendingLimit, now);
-    }
+    const backend = this.tracker.getReady();
+    if (!backend || !pendingLimit) return 'none';
     this.pendingLimit = undefined;
+    const isOfBackend =
+      pendingLimit.server === backend.server &&
+      pendingLimit.startedAtMs === backend.startedAtMs;
+    return isOfBackend ? this.setLimit(pendingLimit, now) : 'none';
   }
 
-  private setLimit(limit: NamedLimit | undefined, now: Millis): void {
+  private setLimit(limit: NamedLimit | undefined, now: Millis): NoticeEffect {
     const before = this.limit;
     if (limit) this.limitHeardAt = now;
-    if (limit?.perSecond === before?.perSecond) return;
+    if (limit?.perSecond === before?.perSecond) return 'none';
     this.limit = limit;
     this.rateLimit.setLimit(limit?.perSecond, now);
     this.logger.info(
@@ -132,6 +135,7 @@
       },
       'server limit',
     );
+    return 'limit-changed';
   }
 }
 
