--- a/test/dispatch/load.test.ts
+++ b/test/dispatch/load.test.ts
@@ -74,3 +74,36 @@
   const readHeld = ({heldToEnd}: SimulationResult) => heldToEnd;
   t.true(measure('overload 1.3', 'dispatch', readHeld) < 0.02);
 });
+
+for (const pattern of [
+  'limits, 0.4',
+  'limits, 0.8',
+  'limits, burst 2 for 4 s',
+] as const) {
+  test(`limited servers get no more than the users allow: ${pattern}`, t => {
+    for (const seed of seeds) {
+      const {starts} = runSimulation(patterns[pattern], 'dispatch', seed);
+      for (const all of starts.slice(0, 6)) {
+        const bound = all.filter(at => at >= 9000 && at < 25_000);
+        const most = Math.max(
+          ...bound.map(
+            from => bound.filter(at => at >= from && at < from + 4000).length,
+          ),
+        );
+        t.true(most <= 1.5 * 2 * 4 + 5, `${most} starts with seed ${seed}`);
+      }
+    }
+  });
+}
+
+test('what exceeds the limits of some servers is served by the others', t => {
+  const readServed = ({served}: SimulationResult) => served;
+  t.true(measure('limits, 0.4', 'dispatch', readServed) > 0.95);
+});
+
+test('what no server can take within its limit is refused without being held', t => {
+  const readHeld = ({heldToEnd}: SimulationResult) => heldToEnd;
+  const readServed = ({served}: SimulationResult) => served;
+  t.true(measure('limits, 0.8', 'dispatch', readServed) > 0.5);
+  t.true(measure('limits, 0.8', 'dispatch', readHeld) < 0.05);
+});
--- a/test/dispatch/load_patterns.ts
+++ b/test/dispatch/load_patterns.ts
@@ -60,6 +60,11 @@
   return (atMs + server * 3300) % longFaultPeriodMs < longFaultMs;
 }
 
+/** Six of nine servers name a limit of 2 requests a second from 6 s to 25 s; sound ones run 7 a second. */
+function getLimit(server: number, atMs: number): number | undefined {
+  return server < 6 && atMs >= 6000 && atMs < 25_000 ? 2 : undefined;
+}
+
 /** The load patterns of the simulations, by name. */
 export const patterns = {
   steady: makePattern({}),
@@ -80,4 +85,10 @@
   'half of the servers lost for 6 s': makePattern({
     isFaulty: (server, at) => server % 2 === 0 && at >= 8000 && at < 14_000,
   }),
+  'limits, 0.4': makePattern({getLoad: () => 0.4, getLimit}),
+  'limits, 0.8': makePattern({getLoad: () => 0.8, getLimit}),
+  'limits, burst 2 for 4 s': makePattern({
+    getLoad: at => (at >= 12_000 && at < 16_000 ? 2 : 0.4),
+    getLimit,
+  }),
 } satisfies Record<string, LoadPattern>;
--- a/test/dispatch/load_simulation.ts
+++ b/test/dispatch/load_simulation.ts
@@ -40,6 +40,8 @@
   isFaulty(server: number, atMs: number): boolean;
   /** How a faulty server fails a request: it hangs until the deadline, or answers an error at once. */
   readonly failure: 'hang' | 'early-error';
+  /** Requests a second that a server names as its limit in an answer at this time. */
+  getLimit?(server: number, atMs: number): number | undefined;
 }
 
 /** `plain`: a random server, FIFO queues, no refusal. `dispatch`: the rules of `src/dispatch`. */
@@ -58,6 +60,8 @@
   readonly failedRuns: number;
   /** Fraction of the requests that were never run and were held for three quarters of their time or longer. */
   readonly heldToEnd: number;
+  /** When each server's runs started. */
+  readonly starts: readonly (readonly number[])[];
   getServedBetween(fromMs: number, untilMs: number): number;
 }
 
@@ -78,6 +82,7 @@
   readonly estimator: FaultEstimator;
   readonly runDurations: RunDurationEstimator;
   readonly running: Map<Request, number>;
+  readonly starts: number[];
 }
 
 const stepMs = 5;
@@ -125,6 +130,7 @@
       estimator: new FaultEstimator(),
       runDurations: new RunDurationEstimator(),
       running: new Map<Request, number>(),
+      starts: [],
     }));
   }
 
@@ -180,7 +186,7 @@
         dataCentre,
         verdict: this.getVerdict(estimator, running, now),
         slots: this.pattern.slots,
-        freeSlots: queue.countFree(),
+        freeSlots: queue.getCounts(now).free,
         queuedRequests: queue.countWaiting(),
         slotsAgeMs: 0,
         unansweredMs: 0,
@@ -279,6 +285,7 @@
 
   private startRun(server: Server, request: Request, now: number): void {
     server.running.set(request, now);
+    server.starts.push(now);
     request.runs += 1;
     if (request.runs === 1)
       this.retryBudget.recordFirstAttempt(now, retryLimits);
@@ -306,6 +313,8 @@
       const startedAt = server.running.get(request) ?? now;
       server.running.delete(request);
       server.queue.release(request);
+      const limit = this.pattern.getLimit?.(server.index, now);
+      server.queue.rateLimit.setLimit(limit, now);
       server.estimator.recordEnd(
         isGood ? 'success' : 'overdue',
         startedAt,
@@ -365,6 +374,7 @@
           refusedAt !== undefined &&
           refusedAt - arrivedAt >= kind.deadlineMs * 0.75,
       ),
+      starts: this.servers.map(({starts}) => starts),
       getServedBetween: (from, until) =>
         measure(listBetween(from, until), isServed),
     };
