Keep away a server that states no start time once its departure is known

A departure named by an answer was not kept if the server stated no start time and an earlier process had left, so that its next report brought it back. The departure of the current process now always replaces the one kept.

--- a/src/dispatch/slot_queue.ts
+++ b/src/dispatch/slot_queue.ts
@@ -89,7 +89,9 @@
     now: Millis,
     mayRun: (request: SlotRequest) => boolean,
   ): {readonly key: Key; readonly waitedMs: Millis} | undefined {
-    if (this.getCounts(now).free === 0) return undefined;
+    if (this.countFree() === 0 || !this.rateLimit.canStart(now)) {
+      return undefined;
+    }
     let best: QueuedRequest<Key> | undefined;
     for (const candidate of this.waiting.values()) {
       if (!mayRun(candidate.request)) continue;
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -62,13 +62,16 @@
    * ends the use of the current process.
    */
   recordDeparture(departure: Departure): boolean {
+    if (this.isCurrent(departure)) {
+      const isNews = !this.hasLeft;
+      this.markDeparted(departure);
+      return isNews;
+    }
     const known = this.departure;
     if (!known || known.startedAtMs < departure.startedAtMs) {
       this.departure = departure;
     }
-    if (this.hasLeft || !this.isCurrent(departure)) return false;
-    this.hasLeft = true;
-    return true;
+    return false;
   }
 
   /** Whether a process is the one that reported last. */
@@ -105,7 +108,7 @@
     return true;
   }
 
-  private markDeparted({server, startedAtMs}: BackendReport): void {
+  private markDeparted({server, startedAtMs}: Departure): void {
     this.hasLeft = true;
     this.departure = {server, startedAtMs};
   }
--- a/src/sidecar/server_notice.ts
+++ b/src/sidecar/server_notice.ts
@@ -1,6 +1,11 @@
 import {Logger, Millis} from '../base/index.js';
 import {RequestRateLimit} from '../dispatch/index.js';
-import {HeardNotice, NamedLimit, SlotCounts} from '../mesh/index.js';
+import {
+  BackendProcess,
+  HeardNotice,
+  NamedLimit,
+  SlotCounts,
+} from '../mesh/index.js';
 import {BackendReport, BackendTracker} from './backend_tracker.js';
 import {GuardMetrics} from './metrics.js';
 
@@ -98,7 +103,7 @@
   }
 
   private recordDeparture(
-    {server, startedAtMs}: Pick<BackendReport, 'server' | 'startedAtMs'>,
+    {server, startedAtMs}: BackendProcess,
     source: 'answer' | 'peer' | 'store',
   ): boolean {
     const isNews = this.tracker.recordDeparture({server, startedAtMs});
@@ -140,7 +145,7 @@
 }
 
 function makeLimit(
-  {server, startedAtMs}: BackendReport,
+  {server, startedAtMs}: BackendProcess,
   perSecond: number,
 ): NamedLimit {
   return {server, startedAtMs, perSecond};
--- a/test/sidecar/backend_tracker.test.ts
+++ b/test/sidecar/backend_tracker.test.ts
@@ -81,6 +81,17 @@
   t.is(tracker.applyReport(late, 0), 'stale');
 });
 
+test('a server that states no start time stays away after its departure became known', t => {
+  const tracker = new BackendTracker(address);
+  const earlier = {server: asId<BackendServerId>('s0'), startedAtMs: 500};
+  tracker.recordDeparture(earlier);
+  const report = makeReport({startedAtMs: 0});
+  tracker.applyReport(report, 0);
+  t.true(tracker.recordDeparture(report));
+  t.is(tracker.applyReport({...report, sequence: 20}, 0), 'stale');
+  t.is(tracker.getReady(), undefined);
+});
+
 test('a departure of an earlier process leaves the current one in use', t => {
   const tracker = new BackendTracker(address);
   tracker.applyReport(makeReport({startedAtMs: 2000}), 0);
