Count a run as evidence of the time at which it started

Cause: hung runs counted in full for as long as they lasted, up to 5 s, and their ends once more as news of that moment. The filter now places each run, ended or in progress, at its start and decays from there. The least probability is 0.08 instead of 0.06, so that a server is doubtful as soon as before once runs of it last too long.

The new test in rules.test.ts fails on the code before (suspended 3.5 s after the first of five hung starts).

--- a/src/dispatch/fault_estimator.ts
+++ b/src/dispatch/fault_estimator.ts
@@ -40,7 +40,7 @@
 /** A success is a quarter as likely during a fault; one that took very long is weak evidence of a fault. */
 const successLikelihoodRatio = 1 - failingShare;
 const slowSuccessLikelihoodRatio = 1.5;
-const minProbability = 0.06;
+const minProbability = 0.08;
 const maxProbability = 0.98;
 /** Log odds of a fault from which a server is doubtful (probability 0.4) or suspended (probability 0.8). */
 const doubtfulLogOdds = -0.4;
@@ -61,48 +61,48 @@
 const failurePauseMs: Millis = 600;
 /** Interval without a run after which a non-idempotent request may serve as the trial. */
 const nonIdempotentTrialIntervalMs: Millis = 2500;
-/** Number of newest successful runs whose start is kept, to weigh them against runs in progress. */
-const maxSuccessStarts = 24;
+/** Number of newest ended runs that are kept, so that a run which ends late can be placed before them. */
+const maxEndedRuns = 32;
+
+/** What one run says about its server at the time at which it started. */
+interface Evidence {
+  readonly startedAt: Millis;
+  readonly likelihoodRatio: number;
+}
 
 /**
- * Bayesian filter for the probability that a backend server is faulty, with the two states sound and faulty. Each ended
- * run updates the probability, and between updates it decays towards the long-term fraction of time in a fault. Runs in
- * progress that last too long count before they end.
+ * Forward filter of a hidden Markov model with the states sound and faulty. A run is evidence of the state in which it
+ * started, however late it ends: what hung during a fault says nothing about the time after it. Between starts the
+ * probability of a fault decays towards the long-term fraction of time in one. Runs in progress that last too long count
+ * before they end.
  */
 export class FaultEstimator {
-  private faultProbability = minProbability;
-  private updatedAt: Millis = 0;
+  /** Probability of a fault just after the newest run that is no longer kept. */
+  private baseProbability = minProbability;
+  private baseAt: Millis = 0;
+  /** Newest ended runs, ordered by their start. */
+  private endedRuns: Evidence[] = [];
   private lastStartAt = -Infinity;
   private pausedUntil = -Infinity;
   /** Whether the newest failure was an early error, after which no success has shown the server to be sound. */
   private failsEarly = false;
-  private successStarts: readonly Millis[] = [];
 
   /** Discards all evidence, for a new process of the server. */
   reset(now: Millis): void {
-    this.faultProbability = minProbability;
-    this.updatedAt = now;
+    this.baseProbability = minProbability;
+    this.baseAt = now;
+    this.endedRuns = [];
     this.lastStartAt = -Infinity;
     this.pausedUntil = -Infinity;
     this.failsEarly = false;
-    this.successStarts = [];
   }
 
   /** Updates the estimate with an ended run. */
   recordEnd(result: RunResult, startedAt: Millis, now: Millis): void {
-    this.advanceTo(now);
-    if (result === 'success') {
-      this.successStarts = [...this.successStarts, startedAt].slice(
-        -maxSuccessStarts,
-      );
-    }
-    const odds =
-      (this.faultProbability / (1 - this.faultProbability)) *
-      getLikelihoodRatio(result);
-    this.faultProbability = Math.min(
-      maxProbability,
-      Math.max(minProbability, odds / (1 + odds)),
-    );
+    this.addEvidence({
+      startedAt,
+      likelihoodRatio: getLikelihoodRatio(result),
+    });
     if (result === 'early-error') this.pausedUntil = now + failurePauseMs;
     if (isFailure(result)) this.failsEarly = result === 'early-error';
     else if (result === 'success' && this.getLogOdds([], now) < doubtfulLogOdds)
@@ -111,11 +111,8 @@
 
   /** Log odds of a fault, including the evidence of runs in progress. */
   getLogOdds(activeRuns: readonly ActiveRun[], now: Millis): number {
-    this.advanceTo(now);
-    return (
-      Math.log(this.faultProbability / (1 - this.faultProbability)) +
-      this.computeActiveLogOdds(activeRuns)
-    );
+    const probability = this.computeProbability(activeRuns, now);
+    return Math.log(probability / (1 - probability));
   }
 
   getVerdict(activeRuns: readonly ActiveRun[], now: Millis): ServerVerdict {
@@ -163,42 +160,75 @@
     return this.failsEarly ? cautiousIntervalMs : trialIntervalMs;
   }
 
-  /**
-   * Log-likelihood ratio for a fault that began at the best-fitting moment: runs that started after it and are still in
-   * progress are evidence for the fault, runs that started after it and succeeded are evidence against it.
-   */
-  private computeActiveLogOdds(activeRuns: readonly ActiveRun[]): number {
-    const events = [
-      ...activeRuns.map(({startedAt, survivalProbability}) => ({
+  private addEvidence(evidence: Evidence): void {
+    const {endedRuns} = this;
+    let index = endedRuns.length;
+    while (index > 0 && endedRuns[index - 1].startedAt > evidence.startedAt) {
+      index -= 1;
+    }
+    endedRuns.splice(index, 0, evidence);
+    const oldest = endedRuns.length > maxEndedRuns && endedRuns.shift();
+    if (!oldest) return;
+    this.baseProbability = applyEvidence(
+      oldest,
+      this.baseProbability,
+      this.baseAt,
+    );
+    this.baseAt = Math.max(this.baseAt, oldest.startedAt);
+  }
+
+  /** Probability of a fault now, from all runs in the order of their starts. */
+  private computeProbability(
+    activeRuns: readonly ActiveRun[],
+    now: Millis,
+  ): number {
+    const active = activeRuns
+      .map(({startedAt, survivalProbability}) => ({
         startedAt,
-        weight: Math.log(
+        likelihoodRatio:
           (failingShare + (1 - failingShare) * survivalProbability) /
-            survivalProbability,
-        ),
-      })),
-      ...this.successStarts.map(startedAt => ({
-        startedAt,
-        weight: Math.log(successLikelihoodRatio),
-      })),
-    ].sort((a, b) => b.startedAt - a.startedAt);
-    let sum = 0;
-    let best = 0;
-    for (const {weight} of events) {
-      sum += weight;
-      best = Math.max(best, sum);
+          survivalProbability,
+      }))
+      .sort((a, b) => a.startedAt - b.startedAt);
+    let probability = this.baseProbability;
+    let at = this.baseAt;
+    let next = 0;
+    const apply = (evidence: Evidence) => {
+      probability = applyEvidence(evidence, probability, at);
+      at = Math.max(at, evidence.startedAt);
+    };
+    for (const ended of this.endedRuns) {
+      while (
+        next < active.length &&
+        active[next].startedAt <= ended.startedAt
+      ) {
+        apply(active[next]);
+        next += 1;
+      }
+      apply(ended);
     }
-    return best;
+    for (; next < active.length; next += 1) apply(active[next]);
+    return predictProbability(probability, now - at);
   }
+}
 
-  /** Prediction step of the filter: the probability decays towards its stationary value. */
-  private advanceTo(now: Millis): void {
-    const elapsed = Math.max(0, now - this.updatedAt);
-    const stationary = meanFaultMs / (meanFaultMs + meanHealthyMs);
-    const decay = Math.exp(-elapsed / meanFaultMs - elapsed / meanHealthyMs);
-    this.faultProbability =
-      stationary + (this.faultProbability - stationary) * decay;
-    this.updatedAt = now;
-  }
+/** Probability of a fault just after a run started, from the probability at an earlier time. */
+function applyEvidence(
+  {startedAt, likelihoodRatio}: Evidence,
+  probability: number,
+  at: Millis,
+): number {
+  const predicted = predictProbability(probability, startedAt - at);
+  const odds = (predicted / (1 - predicted)) * likelihoodRatio;
+  return Math.min(maxProbability, Math.max(minProbability, odds / (1 + odds)));
+}
+
+/** Probability of a fault after a time without evidence: it decays towards its stationary value. */
+function predictProbability(probability: number, elapsedMs: Millis): number {
+  const elapsed = Math.max(0, elapsedMs);
+  const stationary = meanFaultMs / (meanFaultMs + meanHealthyMs);
+  const decay = Math.exp(-elapsed / meanFaultMs - elapsed / meanHealthyMs);
+  return stationary + (probability - stationary) * decay;
 }
 
 /** Whether the server itself failed the run; late errors have other causes as well. */
--- a/test/dispatch/rules.test.ts
+++ b/test/dispatch/rules.test.ts
@@ -141,6 +141,20 @@
   t.false(estimator.canRun('suspended', false, 1, 2000));
 });
 
+test('runs that hung during a fault say nothing about the time after it', t => {
+  const estimator = makeSoundEstimator();
+  const hung = makeRunning(1000, 0.01, 0.01, 0.01, 0.01, 0.01);
+  t.is(estimator.getVerdict(hung, 2000), 'suspended');
+  t.not(estimator.getVerdict(hung, 3500), 'suspended');
+  for (const {startedAt} of hung) {
+    estimator.recordEnd('overdue', startedAt, startedAt + 5000);
+  }
+  const beforeTrials = estimator.getVerdict([], 6400);
+  t.not(beforeTrials, 'suspended');
+  estimator.recordEnd('success', 6400, 6600);
+  t.is(estimator.getVerdict([], 6600), 'sound');
+});
+
 test('late errors, which failed calls explain, do not suspend a server among successes', t => {
   const estimator = makeSoundEstimator();
   for (let at = 1000; at < 2000; at += 200) {
