Send requests to servers that report themselves idle

Cause: entries rank a server that is not sound last, so it gets a trial only if all others are full. In a large service one is always free, no trial comes, and the verdict changes with time only. The class: a belief that only evidence can change which the belief keeps away. Looked for elsewhere: servers in data centres without callers (the same fix), paths that were slow or silent (pinged by the mesh, ranked again by their next reply), retry budgets (a sliding window).

A guard whose server has started nothing for 0.5 s (doubtful), 0.7 s (suspended) or 1 s (sound) now tells four nodes drawn at random. The next request there that may be the trial asks that guard first; the guard grants it at once or refuses it as no longer needed. Filings are trials of doubtful servers only after 1.5 s without a start. Nodes of earlier versions get no reports.

The simulation has services with 42 servers, entries that know what their own requests were told, and data centres.

--- a/src/bench/mesh_idle.ts
+++ b/src/bench/mesh_idle.ts
@@ -34,6 +34,7 @@
     onPeerUp: handleNothing,
     onPeerDown: handleNothing,
     onGuardChange: handleNothing,
+    onIdleReport: () => undefined,
     onHeard: () => undefined,
     onActiveExchanges: handleNothing,
     onRoutingVersion: handleNothing,
--- a/src/dispatch/fault_estimator.ts
+++ b/src/dispatch/fault_estimator.ts
@@ -83,6 +83,7 @@
   /** Newest ended runs, ordered by their start. */
   private endedRuns: Evidence[] = [];
   private lastStartAt = -Infinity;
+  private resetAt: Millis = 0;
   private pausedUntil = -Infinity;
   /** Whether the newest failure was an early error, after which no success has shown the server to be sound. */
   private failsEarly = false;
@@ -92,6 +93,7 @@
     this.baseProbability = minProbability;
     this.baseAt = now;
     this.endedRuns = [];
+    this.resetAt = now;
     this.lastStartAt = -Infinity;
     this.pausedUntil = -Infinity;
     this.failsEarly = false;
@@ -155,6 +157,12 @@
     this.lastStartAt = now;
   }
 
+  /** Time without the start of a run; 0 during the pause after an early failure. */
+  getIdleTime(now: Millis): Millis {
+    if (now < this.pausedUntil) return 0;
+    return now - Math.max(this.lastStartAt, this.resetAt);
+  }
+
   private getTrialInterval(isIdempotent: boolean): Millis {
     if (!isIdempotent) return nonIdempotentTrialIntervalMs;
     return this.failsEarly ? cautiousIntervalMs : trialIntervalMs;
@@ -208,7 +216,7 @@
       apply(ended);
     }
     for (; next < active.length; next += 1) apply(active[next]);
-    return predictProbability(probability, now - at);
+    return computePrediction(probability, now - at);
   }
 }
 
@@ -218,13 +226,13 @@
   probability: number,
   at: Millis,
 ): number {
-  const predicted = predictProbability(probability, startedAt - at);
+  const predicted = computePrediction(probability, startedAt - at);
   const odds = (predicted / (1 - predicted)) * likelihoodRatio;
   return Math.min(maxProbability, Math.max(minProbability, odds / (1 + odds)));
 }
 
 /** Probability of a fault after a time without evidence: it decays towards its stationary value. */
-function predictProbability(probability: number, elapsedMs: Millis): number {
+function computePrediction(probability: number, elapsedMs: Millis): number {
   const elapsed = Math.max(0, elapsedMs);
   const stationary = meanFaultMs / (meanFaultMs + meanHealthyMs);
   const decay = Math.exp(-elapsed / meanFaultMs - elapsed / meanHealthyMs);
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -6,3 +6,4 @@
 export * from './slot_queue.js';
 export * from './run_duration_estimator.js';
 export * from './request_rate_limit.js';
+export * from './idle_reports.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -49,6 +49,13 @@
     .map(({node}) => node);
 }
 
+/** Whether a guard replies without delay, as far as is known. */
+export function isReachable(guard: GuardView): boolean {
+  return (
+    guard.unansweredMs <= unreachableAfterMs && guard.replyTimeMs <= slowReplyMs
+  );
+}
+
 function computePenalty(guard: GuardView, isIdempotent: boolean): number {
   const unreachable = guard.unansweredMs > unreachableAfterMs ? 4 : 0;
   const slow = guard.replyTimeMs > slowReplyMs ? 1 : 0;
--- a/src/dispatch/slot_queue.ts
+++ b/src/dispatch/slot_queue.ts
@@ -16,6 +16,8 @@
   readonly deadlineAt: Millis;
   /** Weight in estimates of the wait: a request that is queued at four guards counts a quarter at each. */
   readonly share: number;
+  /** Whether the request answers a report that the server is idle; such a request is a trial of a faulty server. */
+  readonly isForIdle: boolean;
 }
 
 interface QueuedRequest<Key> {
--- a/src/mesh/known_node.ts
+++ b/src/mesh/known_node.ts
@@ -13,6 +13,7 @@
   readonly isJoined: boolean;
   readonly guard: GuardState;
   readonly routingVersion: number;
+  readonly acceptsIdleReports: boolean;
   readonly channel: Channel | undefined;
 }
 
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -39,6 +39,9 @@
 
 type Hello = Extract<NodeMessage, {kind: 'hello'}>;
 
+/** Report of a guard that its server is idle. */
+export type IdleReportMessage = Extract<NodeMessage, {kind: 'idle'}>;
+
 /** Callbacks for messages from peers and changes of their links. */
 export interface MeshHandlers {
   makeHello(): Hello;
@@ -48,6 +51,7 @@
   onPeerUp(peer: Peer, isRestarted: boolean): void;
   onPeerDown(peer: Peer): void;
   onGuardChange(peer: Peer): void;
+  onIdleReport(peer: Peer, report: IdleReportMessage): void;
   onHeard(peer: Peer, notice: HeardNotice): void;
   onActiveExchanges(peer: Peer, ids: readonly number[]): void;
   onRoutingVersion(peer: Peer, version: number): void;
@@ -239,6 +243,7 @@
       isJoined: hello.isJoined,
       guard: hello.guard,
       routingVersion: hello.routingVersion,
+      acceptsIdleReports: hello.acceptsIdleReports === true,
       channel: link,
     };
     oldLink?.abort();
@@ -302,6 +307,8 @@
       case 'guard':
         known.peer = {...peer, guard: message.guard};
         return this.handlers.onGuardChange(known.peer);
+      case 'idle':
+        return this.handlers.onIdleReport(peer, message);
       case 'heard':
         return this.handlers.onHeard(peer, message.notice);
       case 'holding':
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -8,7 +8,7 @@
   RouteId,
   ServiceId,
 } from '../base/index.js';
-import {ServerVerdict} from '../dispatch/index.js';
+import {ServerVerdict, WantedRequests} from '../dispatch/index.js';
 
 /** A backend process; a server that starts again under its id is another one. */
 export interface BackendProcess {
@@ -62,10 +62,16 @@
 /**
  * Why a guard refused a slot. The request was not sent to the backend server. `repeat-budget`: the retry budget is used
  * up. `hopeless`: the request is unlikely to be answered by its deadline, even if it started now or because it is late
- * and timely requests leave it no slot. `expired`: the entry did not use a granted slot in time.
+ * and timely requests leave it no slot. `expired`: the entry did not use a granted slot in time. `not-idle`: the request
+ * answers a report that the server is idle, which it no longer is.
  */
 export type SlotRefusal =
-  'no-server' | 'leaving' | 'repeat-budget' | 'hopeless' | 'expired';
+  | 'no-server'
+  | 'leaving'
+  | 'repeat-budget'
+  | 'hopeless'
+  | 'expired'
+  | 'not-idle';
 
 /**
  * Why an exchange with a backend server ended without a usable response. `revoked`: the grant had expired, or the
@@ -108,6 +114,8 @@
       readonly deadlineInMs: Millis;
       /** Weight in estimates of the wait: a request that is queued at four guards counts a quarter at each. */
       readonly share: number;
+      /** Set if the request answers a report that the server is idle. */
+      readonly isForIdle?: boolean;
     }
   | {readonly kind: 'withdraw'; readonly id: number}
   | {
@@ -187,6 +195,8 @@
       readonly isJoined: boolean;
       readonly routingVersion: number;
       readonly guard: GuardState;
+      /** Whether the node accepts idle reports; absent from nodes of earlier versions. */
+      readonly acceptsIdleReports?: boolean;
     }
   | {
       /**
@@ -197,6 +207,12 @@
       readonly ids: readonly number[];
     }
   | {readonly kind: 'guard'; readonly guard: GuardState}
+  /** Sent by a guard to a few nodes: its server is idle and needs a request of this kind. */
+  | {
+      readonly kind: 'idle';
+      readonly service: ServiceId;
+      readonly wanted: WantedRequests;
+    }
   /** Sent to a restarted node: what its process before had told, so that the new one keeps to it. */
   | {readonly kind: 'heard'; readonly notice: HeardNotice}
   | {readonly kind: 'ping'}
@@ -227,6 +243,7 @@
   'hello',
   'holding',
   'guard',
+  'idle',
   'heard',
   'ping',
   'pong',
--- a/src/sidecar/backend_monitor.ts
+++ b/src/sidecar/backend_monitor.ts
@@ -57,6 +57,11 @@
     return this.faultEstimator.canRun(verdict, isIdempotent, running, now);
   }
 
+  /** Time without the start of a run that says anything about the server. */
+  getIdleTime(now: Millis): Millis {
+    return this.faultEstimator.getIdleTime(now);
+  }
+
   /** Records a grant, from which the interval to the next trial run of a suspended server counts. */
   recordGrant(now: Millis): void {
     this.faultEstimator.recordStart(now);
--- a/src/sidecar/exchange_runner.ts
+++ b/src/sidecar/exchange_runner.ts
@@ -7,7 +7,7 @@
 } from '../mesh/index.js';
 import {BackendClient, BackendOutcome} from './backend_client.js';
 import {BackendReport} from './backend_tracker.js';
-import {Exchange} from './guard_sessions.js';
+import {Exchange, Session} from './guard_sessions.js';
 import {ServerNotice} from './server_notice.js';
 
 /** Unsent bytes on an entry's link above which reading from the backend server pauses. */
@@ -114,6 +114,19 @@
     });
   }
 
+  /** Fails a request whose grant has expired; it was not sent to the server. */
+  refuseSend(session: Session, id: number): void {
+    session.channel?.send({
+      kind: 'failed',
+      id,
+      seq: 0,
+      reason: 'revoked',
+      mayHaveRun: false,
+      detail: 'the grant has expired',
+      news: this.getSlotCounts(),
+    });
+  }
+
   private sendPart(exchange: Exchange, part: GuardMessage): void {
     exchange.parts.add(part);
     exchange.session.channel?.send(part);
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -5,7 +5,7 @@
   Millis,
   runEvery,
 } from '../base/index.js';
-import {WindowedRetryBudget, SlotQueue} from '../dispatch/index.js';
+import {SlotQueue} from '../dispatch/index.js';
 import {
   Channel,
   EntryMessage,
@@ -28,6 +28,7 @@
 import {PartBuffer} from './part_buffer.js';
 import {NoticeEffect, NoticeTracker} from './server_notice.js';
 import {BackendMonitor} from './backend_monitor.js';
+import {SlotAdmission} from './slot_admission.js';
 import {StateUpdateThrottle} from './state_update_throttle.js';
 
 const checkIntervalMs: Millis = 100;
@@ -38,9 +39,9 @@
 export class Guard {
   readonly tracker: BackendTracker;
   private readonly queue = new SlotQueue<Exchange>(1);
-  private readonly monitor: BackendMonitor;
+  private readonly monitor = new BackendMonitor();
+  private readonly admission = new SlotAdmission(this.monitor);
   private readonly notices: NoticeTracker;
-  private readonly retryBudget = new WindowedRetryBudget();
   private readonly sessions = new GuardSessions();
   private readonly runner: ExchangeRunner;
   private readonly publishThrottle = new StateUpdateThrottle();
@@ -53,7 +54,6 @@
     private readonly logger: Logger,
   ) {
     this.tracker = new BackendTracker(settings.backendAddress);
-    this.monitor = new BackendMonitor();
     const {rateLimit} = this.queue;
     this.notices = new NoticeTracker(this.tracker, rateLimit, metrics, logger);
     this.runner = new ExchangeRunner(
@@ -188,7 +188,7 @@
       case 'send':
         if (exchange?.phase === 'granted')
           void this.runExchange(exchange, message);
-        else if (!exchange) this.refuseSend(session, message);
+        else if (!exchange) this.runner.refuseSend(session, message.id);
         return;
       case 'withdraw':
       case 'cancel':
@@ -230,6 +230,9 @@
     session.exchanges.set(message.id, exchange);
     this.queue.add(exchange, exchange.request, now);
     this.grantSlots();
+    if (message.isForIdle && this.queue.isWaiting(exchange)) {
+      return this.refuse(exchange, 'not-idle');
+    }
     if (this.queue.isWaiting(exchange)) {
       // The queue of a suspended server, which runs only trials, says nothing about the wait.
       const isEstimable = this.monitor.getVerdict(now) !== 'suspended';
@@ -252,10 +255,7 @@
     if (this.context.isShuttingDown()) return 'leaving';
     if (!backend || backend.service !== message.service) return 'no-server';
     const limits = this.context.getRetryLimits(backend.service);
-    if (message.isRepeat && !this.retryBudget.hasRetry(now, limits)) {
-      return 'repeat-budget';
-    }
-    return undefined;
+    return this.admission.findRefusal(message, limits, now);
   }
 
   private grantSlots(): void {
@@ -263,24 +263,18 @@
     if (!backend || this.context.isShuttingDown()) return;
     for (;;) {
       const now = this.clock.getTime();
-      const verdict = this.monitor.getVerdict(now);
       const running = this.queue.countRunning();
       const limits = this.context.getRetryLimits(backend.service);
       const next = this.queue.claimNext(
         now,
-        ({isIdempotent, isRetry}) =>
-          this.monitor.canRun(verdict, isIdempotent, running, now) &&
-          (!isRetry || this.retryBudget.hasRetry(now, limits)),
+        this.admission.makeStartFilter(running, limits, now),
       );
       if (!next) return;
       const exchange = next.key;
       exchange.phase = 'granted';
       exchange.server = backend.server;
       exchange.phaseStartedAt = now;
-      this.monitor.recordGrant(now);
-      // Counted at the grant, so that requests granted at the same time cannot jointly exceed the budget.
-      if (exchange.request.isRetry) this.retryBudget.recordRetry(now, limits);
-      else this.retryBudget.recordFirstAttempt(now, limits);
+      this.admission.recordGrant(exchange.request, limits, now);
       this.metrics.slotWait.observe(next.waitedMs / 1000);
       exchange.session.channel?.send({
         kind: 'granted',
@@ -342,6 +336,15 @@
     this.notices.reportLimit(now);
     this.grantSlots();
     this.publishState();
+    this.reportIdle(now);
+  }
+
+  private reportIdle(now: Millis): void {
+    const backend = this.tracker.getReady();
+    const isOpen = backend && !this.context.isShuttingDown();
+    if (!isOpen || this.queue.getCounts(now).free === 0) return;
+    const wanted = this.admission.claimIdleReport(now);
+    if (wanted) this.context.reportIdle(backend.service, wanted);
   }
 
   private refuseQueued(reason: SlotRefusal): void {
@@ -357,19 +360,6 @@
     exchange.session.channel?.send({kind: 'refused', id: exchange.id, reason});
   }
 
-  /** Fails a request whose grant has expired; it was not sent to the server. */
-  private refuseSend(session: Session, message: SendMessage): void {
-    session.channel?.send({
-      kind: 'failed',
-      id: message.id,
-      seq: 0,
-      reason: 'revoked',
-      mayHaveRun: false,
-      detail: 'the grant has expired',
-      news: this.getSlotCounts(),
-    });
-  }
-
   /** Releases the slot and aborts a run in progress; parts already sent are retained for `partRetentionMs`. */
   private endExchange(exchange: Exchange): void {
     if (exchange.phase === 'ended') return;
--- a/src/sidecar/guard_sessions.ts
+++ b/src/sidecar/guard_sessions.ts
@@ -59,6 +59,7 @@
     targetAt: now + message.targetInMs,
     deadlineAt: now + message.deadlineInMs,
     share: message.share,
+    isForIdle: message.isForIdle === true,
   };
 }
 
--- a/src/sidecar/guard_state.ts
+++ b/src/sidecar/guard_state.ts
@@ -1,5 +1,5 @@
 import {ServiceId} from '../base/index.js';
-import {RetryLimits, ServerVerdict} from '../dispatch/index.js';
+import {RetryLimits, ServerVerdict, WantedRequests} from '../dispatch/index.js';
 import {GuardState, NamedLimit} from '../mesh/index.js';
 import {BackendTracker} from './backend_tracker.js';
 
@@ -11,6 +11,8 @@
   countPeers(): number;
   /** Whether the configuration contains a service; reports for other services are foreign to this fleet. */
   isKnownService(service: ServiceId): boolean;
+  /** Tells a few entries that the server is idle and needs a request. */
+  reportIdle(service: ServiceId, wanted: WantedRequests): void;
   /** Called when the state that is published to other nodes has changed. */
   onStateChange(state: GuardState): void;
 }
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -10,8 +10,10 @@
 } from '../base/index.js';
 import {
   GuardView,
+  IdleReports,
   RetryLimits,
   RunDurationEstimator,
+  WantedRequests,
 } from '../dispatch/index.js';
 import {
   Channel,
@@ -29,7 +31,8 @@
 import {makeSessionName} from './guard_sessions.js';
 import {KnownGuard, listGuardViews} from './guard_views.js';
 import {HeardNotices} from './heard_notices.js';
-import {buildHttpPort} from './http_port.js';
+import {buildMetricsPort} from './http_port.js';
+import {sendIdleReports} from './idle_report_sender.js';
 import {buildMetrics} from './metrics.js';
 import {NodeDirectory} from './node_directory.js';
 import {RoutingFollower} from './routing_follower.js';
@@ -42,8 +45,6 @@
 const linkTimeoutMs: Millis = 2500;
 const startupPollMs: Millis = 50;
 const drainPollMs: Millis = 50;
-/** A peer's newer configuration is requested if the store has not delivered it within this time. */
-const routingRequestDelayMs: Millis = 400;
 
 /** The node beside one backend server: entry for the callers of its VM and guard of its backend server. */
 export class SidecarNode {
@@ -62,6 +63,7 @@
   private readonly httpPorts: FastifyInstance[] = [];
   private readonly shutdown = new Shutdown();
   private readonly heardNotices = new HeardNotices();
+  private readonly idleReports = new IdleReports();
   private readonly batchingLogger: BatchingLogger;
   private isReady = false;
 
@@ -102,6 +104,7 @@
         // Until there is a configuration, only the service in the settings is known.
         isKnownService: service =>
           this.follower.hasService(service) ?? service === settings.service,
+        reportIdle: (service, wanted) => this.reportIdle(service, wanted),
         onStateChange: state => this.onGuardStateChange(state),
       },
       settings,
@@ -131,6 +134,7 @@
         runDurations: new RunDurationEstimator(),
         metrics: this.metrics,
         dataCentre,
+        idleReports: this.idleReports,
         getCallerService: () => this.getCallerService(),
         listGuards: service => this.listGuards(service),
         isShuttingDown: () => this.shutdown.hasStarted(),
@@ -154,6 +158,7 @@
           isJoined: this.directory.isJoined(),
           routingVersion: this.follower.getVersion(),
           guard: this.guard.getState(),
+          acceptsIdleReports: true,
         }),
         onEntryMessage: (peer, message) =>
           this.guard.handle(makeSessionName(peer), message),
@@ -169,10 +174,17 @@
           this.reportSuspicion(other, guard);
           this.heardNotices.update(other, guard);
         },
+        onIdleReport: (peer, {service, wanted}) =>
+          this.idleReports.record(service, peer.node, wanted, clock.getTime()),
         onHeard: (_peer, notice) => this.guard.recordHeard(notice, 'peer'),
         onActiveExchanges: (peer, ids) =>
           this.calls.onHeldExchanges(peer.node, ids),
-        onRoutingVersion: (peer, version) => this.onPeerVersion(peer, version),
+        onRoutingVersion: (peer, version) =>
+          this.follower.onPeerVersion(version, above =>
+            this.mesh
+              .getPeer(peer.node)
+              ?.channel?.send({kind: 'want-routing', above}),
+          ),
         onRoutingRequest: (peer, above) => {
           const document = this.follower.getDocument();
           if (document && this.follower.getVersion() > above) {
@@ -208,7 +220,7 @@
         ),
         settings.readiness,
       ),
-      this.openPort(this.buildMetricsPort(), {
+      this.openPort(buildMetricsPort(this.registry), {
         host: settings.address,
         port: dependencies.metricsPort,
       }),
@@ -301,16 +313,6 @@
     await app.listen({host, port});
   }
 
-  private buildMetricsPort(): FastifyInstance {
-    const app = buildHttpPort();
-    app.get('/metrics', async (_request, reply) =>
-      reply
-        .header('content-type', this.registry.contentType)
-        .send(await this.registry.metrics()),
-    );
-    return app;
-  }
-
   private getCallerService(): ServiceId | undefined {
     return this.guard.tracker.getLatest()?.service ?? this.settings.service;
   }
@@ -346,6 +348,21 @@
     });
   }
 
+  private reportIdle(service: ServiceId, wanted: WantedRequests): void {
+    sendIdleReports(
+      this.mesh.listPeers(),
+      {service, wanted},
+      () =>
+        this.idleReports.record(
+          service,
+          this.settings.node,
+          wanted,
+          this.clock.getTime(),
+        ),
+      Math.random,
+    );
+  }
+
   private reportSuspicion(node: NodeId, guard: GuardState): void {
     if (guard.kind === 'open' && guard.verdict === 'suspended') {
       this.calls.onSuspicion(node);
@@ -380,15 +397,4 @@
       });
     }
   }
-
-  private onPeerVersion(peer: Peer, version: number): void {
-    if (version <= this.follower.getVersion()) return;
-    this.clock.startTimer(routingRequestDelayMs, () => {
-      if (version <= this.follower.getVersion()) return;
-      this.mesh.getPeer(peer.node)?.channel?.send({
-        kind: 'want-routing',
-        above: this.follower.getVersion(),
-      });
-    });
-  }
 }
--- a/src/sidecar/request_task.ts
+++ b/src/sidecar/request_task.ts
@@ -197,10 +197,11 @@
     this.search.close();
     const now = this.clock.getTime();
     const {request} = this;
+    const slots = this.context.calls.getReportedSlots(call.node);
     this.attempts += 1;
     this.inFlight.set(call, {
       sentAt: now,
-      isSuspected: false,
+      isSuspected: slots?.verdict === 'suspended',
       head: undefined,
       chunks: [],
       bytes: 0,
@@ -222,7 +223,7 @@
         guard: call.node,
         attempt: this.attempts,
         afterMs: Math.round(now - request.receivedAt),
-        slotsHeard: this.context.calls.getReportedSlots(call.node),
+        slotsHeard: slots,
       },
       'request placed',
     );
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -35,6 +35,9 @@
 const minRetryDelayMs: Millis = 200;
 const maxRetryDelayMs: Millis = 1000;
 
+/** A peer's newer configuration is requested if the store has not delivered it within this time. */
+const routingRequestDelayMs: Millis = 400;
+
 /** Location and format of the operator's configuration in the store. */
 export interface RoutingSource {
   readonly topic: string;
@@ -108,6 +111,14 @@
     return true;
   }
 
+  /** Requests the configuration from a peer that has a newer version, unless the store delivers it first. */
+  onPeerVersion(version: number, request: (above: number) => void): void {
+    if (version <= this.getVersion()) return;
+    this.clock.startTimer(routingRequestDelayMs, () => {
+      if (version > this.getVersion()) request(this.getVersion());
+    });
+  }
+
   /** Restarts the poll at once, because a peer has a newer version. */
   restartPoll(): void {
     this.pollController.abort();
--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -2,6 +2,8 @@
 import {
   countedWaitFraction,
   GuardView,
+  IdleReports,
+  isReachable,
   isWaitTooLong,
   rankGuards,
   RunDurationEstimator,
@@ -53,6 +55,7 @@
   readonly calls: GuardCalls;
   readonly runDurations: RunDurationEstimator;
   readonly dataCentre: GuardView['dataCentre'];
+  readonly idleReports: IdleReports;
   listGuards(service: CallerRequest['service']): readonly GuardView[];
   /** Time by which all requests must have ended because the node shuts down; Infinity until it does. */
   getShutdownDeadline(): Millis;
@@ -80,6 +83,8 @@
   /** Guards that have refused or granted a slot and are not asked again for this request. */
   private readonly excludedNodes = new Set<NodeId>();
   private isOpen = false;
+  /** Whether a guard has been asked. */
+  private hasAsked = false;
   private hopelessRefusals = 0;
   private shortestWaitMs: Millis = 0;
   private lastRefusal: SlotRefusal | 'link-lost' | undefined;
@@ -148,11 +153,17 @@
     if (remainingMs < expectedMs * minRemainingFraction) return 'expired';
     if (this.hopelessRefusals >= maxHopelessRefusals) return 'busy';
     // Ranks guards only if a further one may be asked, which is not the case while a reply to a slot request is awaited.
-    if (this.pending.size < maxSlotRequests && !this.isReplyAwaited(now)) {
+    const idle = this.claimIdleGuard(now, isRetry);
+    if (idle) {
+      this.requestSlot(idle, now, isRetry, 1, true);
+    } else if (
+      this.pending.size < maxSlotRequests &&
+      !this.isReplyAwaited(now)
+    ) {
       const ranked = this.rankCandidates(now);
       const candidates = ranked.length + this.pending.size;
       if (ranked.length > 0) {
-        this.requestSlot(ranked[0], now, isRetry, candidates);
+        this.requestSlot(ranked[0], now, isRetry, candidates, false);
       }
     }
     if (this.pending.size > 0) {
@@ -174,7 +185,7 @@
 
   recordRefusal(call: GuardCall, reason: SlotRefusal | 'link-lost'): void {
     this.pending.delete(call);
-    this.excludedNodes.add(call.node);
+    if (reason !== 'not-idle') this.excludedNodes.add(call.node);
     this.lastRefusal = reason;
     if (reason === 'hopeless') this.hopelessRefusals += 1;
   }
@@ -227,11 +238,33 @@
     );
   }
 
+  /** Returns a guard that has reported its server idle, to be asked before all others; large responses stay local. */
+  private claimIdleGuard(now: Millis, isRetry: boolean): NodeId | undefined {
+    if (this.hasAsked || isRetry) return undefined;
+    this.hasAsked = true;
+    const {service, route} = this.request;
+    const {idleReports, dataCentre} = this.context;
+    const guards = this.context.listGuards(service);
+    return idleReports.claim(
+      service,
+      route.isIdempotent,
+      node =>
+        guards.some(
+          guard =>
+            guard.node === node &&
+            isReachable(guard) &&
+            !(route.isBulk && guard.dataCentre !== dataCentre),
+        ),
+      now,
+    );
+  }
+
   private requestSlot(
     node: NodeId,
     now: Millis,
     isRetry: boolean,
     candidates: number,
+    isForIdle: boolean,
   ): void {
     const {route, requestId, service, receivedAt, deadlineAt} = this.request;
     const call = this.context.calls.open(
@@ -247,6 +280,7 @@
         targetInMs: Math.round(receivedAt + route.targetMs - now),
         deadlineInMs: Math.round(deadlineAt - now),
         share: 1 / Math.max(1, Math.min(maxSlotRequests, candidates)),
+        ...(isForIdle && {isForIdle}),
       },
       this.onEvent,
     );
--- a/test/dispatch/builders.ts
+++ b/test/dispatch/builders.ts
@@ -14,6 +14,7 @@
     targetAt: 1000,
     deadlineAt: 3000,
     share: 1,
+    isForIdle: false,
     ...changes,
   };
 }
--- a/test/dispatch/load.test.ts
+++ b/test/dispatch/load.test.ts
@@ -3,7 +3,9 @@
 
 import test from 'ava';
 import {patterns} from './load_patterns.js';
-import {Policy, runSimulation, SimulationResult} from './load_simulation.js';
+import {runSimulation} from './load_simulation.js';
+import {SimulationResult} from './simulation_result.js';
+import {Policy} from './simulation_types.js';
 
 const seeds = [1, 2, 3];
 
@@ -107,3 +109,21 @@
   t.true(measure('limits, 0.8', 'dispatch', readServed) > 0.5);
   t.true(measure('limits, 0.8', 'dispatch', readHeld) < 0.05);
 });
+
+/** Share of the sound servers of a service that must get requests in any two seconds, at the first users. */
+const floorShare = 0.7;
+
+for (const pattern of [
+  'large service',
+  'large service, faults',
+  'large service, early errors',
+  'large service, filings only, faults',
+  'large service, callers in one data centre',
+] as const) {
+  test(`sound servers are not left without requests: ${pattern}`, t => {
+    for (const seed of seeds) {
+      const {worstUse} = runSimulation(patterns[pattern], 'dispatch', seed);
+      t.true(worstUse >= floorShare, `${worstUse} with seed ${seed}`);
+    }
+  });
+}
--- a/test/dispatch/load_patterns.ts
+++ b/test/dispatch/load_patterns.ts
@@ -1,4 +1,4 @@
-import {RequestClass, LoadPattern} from './load_simulation.js';
+import {RequestClass, LoadPattern} from './simulation_types.js';
 
 /** The requests of a filing service: mostly non-idempotent filings, with short and long reads. */
 const classes: readonly RequestClass[] = [
@@ -60,6 +60,38 @@
   return (atMs + server * 3300) % longFaultPeriodMs < longFaultMs;
 }
 
+/** Requests of a large filing service: filings, and short calls that may be repeated. */
+const filingsAndCalls: readonly RequestClass[] = [
+  {
+    name: 'filing',
+    share: 0.8,
+    workMs: 860,
+    targetMs: 3000,
+    deadlineMs: 5000,
+    priority: 1,
+    isIdempotent: false,
+  },
+  {
+    name: 'call',
+    share: 0.2,
+    workMs: 210,
+    targetMs: 800,
+    deadlineMs: 2500,
+    priority: 1,
+    isIdempotent: true,
+  },
+];
+
+/** A service with 42 servers and an entry beside each of 108 servers of the fleet. */
+const largeService = {
+  servers: 42,
+  slots: 7,
+  classes: filingsAndCalls,
+  entries: 108,
+  dataCentres: 3,
+  getLoad: () => 0.4,
+} satisfies Partial<LoadPattern>;
+
 /** Six of nine servers name a limit of 2 requests a second from 6 s to 25 s; sound ones run 7 a second. */
 function getLimit(server: number, atMs: number): number | undefined {
   return server < 6 && atMs >= 6000 && atMs < 25_000 ? 2 : undefined;
@@ -91,4 +123,21 @@
     getLoad: at => (at >= 12_000 && at < 16_000 ? 2 : 0.4),
     getLimit,
   }),
+  'large service': makePattern(largeService),
+  'large service, faults': makePattern({...largeService, isFaulty: isInFault}),
+  'large service, early errors': makePattern({
+    ...largeService,
+    isFaulty: isInLongFault,
+    failure: 'early-error',
+  }),
+  'large service, filings only, faults': makePattern({
+    ...largeService,
+    classes: [{...filingsAndCalls[0], share: 1}],
+    isFaulty: isInFault,
+  }),
+  'large service, callers in one data centre': makePattern({
+    ...largeService,
+    callingDataCentres: 1,
+    getLoad: () => 0.25,
+  }),
 } satisfies Record<string, LoadPattern>;
--- a/test/dispatch/load_simulation.ts
+++ b/test/dispatch/load_simulation.ts
@@ -5,92 +5,39 @@
   NodeId,
   Random,
   RouteId,
+  ServiceId,
 } from '../../src/base/index.js';
 import {
   isWaitTooLong,
   rankGuards,
   FaultEstimator,
+  findWantedRequests,
+  GuardView,
+  IdleReports,
+  IdleReportSchedule,
+  isWantedRequest,
+  reportedEntries,
   SlotQueue,
   SlotRequest,
   RetryLimits,
   RunDurationEstimator,
   WindowedRetryBudget,
 } from '../../src/dispatch/index.js';
-
-/** Requests with the same duration, target, deadline and priority. */
-export interface RequestClass {
-  readonly name: string;
-  readonly share: number;
-  readonly workMs: number;
-  readonly targetMs: number;
-  readonly deadlineMs: number;
-  readonly priority: number;
-  readonly isIdempotent: boolean;
-}
-
-/** Offered load over time, and servers that hang for a while. */
-export interface LoadPattern {
-  readonly servers: number;
-  readonly slots: number;
-  readonly classes: readonly RequestClass[];
-  readonly lengthMs: number;
-  /** Offered load as a fraction of the capacity of all slots. */
-  getLoad(atMs: number): number;
-  /** Whether a server fails three of four requests that start at this time. */
-  isFaulty(server: number, atMs: number): boolean;
-  /** How a faulty server fails a request: it hangs until the deadline, or answers an error at once. */
-  readonly failure: 'hang' | 'early-error';
-  /** Requests a second that a server names as its limit in an answer at this time. */
-  getLimit?(server: number, atMs: number): number | undefined;
-}
-
-/** `plain`: a random server, FIFO queues, no refusal. `dispatch`: the rules of `src/dispatch`. */
-export type Policy = 'plain' | 'dispatch' | 'dispatch-without-estimator';
-
-/** Results of a simulation, as fractions of the requests except where noted. */
-export interface SimulationResult {
-  readonly inTarget: number;
-  readonly served: number;
-  readonly worstClass: number;
-  /** Smallest fraction served within the target in any window of two seconds. */
-  readonly worstWindow: number;
-  /** Fraction of the slot time spent on runs without an answer by the deadline. */
-  readonly wasted: number;
-  /** Number of runs that faulty servers have failed while requests arrived. */
-  readonly failedRuns: number;
-  /** Fraction of the requests that were never run and were held for three quarters of their time or longer. */
-  readonly heldToEnd: number;
-  /** When each server's runs started. */
-  readonly starts: readonly (readonly number[])[];
-  getServedBetween(fromMs: number, untilMs: number): number;
-}
-
-interface Request {
-  readonly id: number;
-  readonly kind: RequestClass;
-  readonly arrivedAt: number;
-  endedAt: number | undefined;
-  /** When it was refused because it could not be served. */
-  refusedAt: number | undefined;
-  runs: number;
-}
-
-interface Server {
-  readonly index: number;
-  readonly queue: SlotQueue<Request>;
-  readonly fifo: Request[];
-  readonly estimator: FaultEstimator;
-  readonly runDurations: RunDurationEstimator;
-  readonly running: Map<Request, number>;
-  readonly starts: number[];
-}
+import {computeResult, SimulationResult} from './simulation_result.js';
+import {
+  EntryView,
+  LoadPattern,
+  Policy,
+  Request,
+  Server,
+} from './simulation_types.js';
 
 const stepMs = 5;
 /** Fraction of the runs that a faulty server fails. */
 const failingShare = 0.75;
 /** Approximate standard deviation of the logarithm of the work, which is uniformly distributed. */
 const logWorkDeviation = 0.3;
-const dataCentre = asId<DataCentreId>('z');
+const service = asId<ServiceId>('s');
 const maxGuardsAsked = 8;
 /** Retries of idempotent requests over all servers. */
 const retryLimits: RetryLimits = {ratio: 0.09, windowMs: 10_000, extra: 26};
@@ -104,8 +51,13 @@
   return new LoadSimulation(pattern, policy, makeRandom(seed)).run();
 }
 
+function makeDataCentre(index: number): DataCentreId {
+  return asId<DataCentreId>(`z${index}`);
+}
+
 class LoadSimulation {
   private readonly servers: readonly Server[];
+  private readonly entries: readonly EntryView[];
   private readonly requests: Request[] = [];
   private readonly scheduledEnds: {
     readonly at: number;
@@ -125,13 +77,21 @@
   ) {
     this.servers = Array.from({length: pattern.servers}, (_, index) => ({
       index,
+      dataCentre: makeDataCentre(index % (pattern.dataCentres ?? 1)),
       queue: new SlotQueue<Request>(pattern.slots),
       fifo: [],
       estimator: new FaultEstimator(),
+      idleReports: new IdleReportSchedule(),
       runDurations: new RunDurationEstimator(),
       running: new Map<Request, number>(),
       starts: [],
     }));
+    const calling = pattern.callingDataCentres ?? pattern.dataCentres ?? 1;
+    this.entries = Array.from({length: pattern.entries ?? 1}, (_, index) => ({
+      dataCentre: makeDataCentre(index % calling),
+      reported: new Map(),
+      idleReports: new IdleReports(),
+    }));
   }
 
   run(): SimulationResult {
@@ -141,9 +101,16 @@
     for (let now = 0; now < this.pattern.lengthMs + longest; now += stepMs) {
       this.endDueRuns(now);
       if (now < this.pattern.lengthMs) this.addArrivals(now);
-      for (const server of this.servers) this.startRuns(server, now);
+      for (const server of this.servers) {
+        this.startRuns(server, now);
+        if (this.policy === 'dispatch') this.reportIdle(server, now);
+      }
     }
-    return this.computeResult();
+    const {pattern, requests, servers} = this;
+    return computeResult(pattern, requests, servers, {
+      wasted: this.wastedMs / Math.max(1, this.busyMs),
+      failedRuns: this.failedRuns,
+    });
   }
 
   private addArrivals(now: number): void {
@@ -162,8 +129,15 @@
     const kind =
       this.pattern.classes.find(({share}) => (point -= share) < 0) ??
       this.pattern.classes[0];
+    const entry =
+      this.entries[
+        this.entries.length > 1
+          ? Math.floor(this.random() * this.entries.length)
+          : 0
+      ];
     const request = {
       id: this.requests.length,
+      entry,
       kind,
       arrivedAt: now,
       endedAt: undefined,
@@ -180,19 +154,11 @@
       this.servers[index].fifo.push(request);
       return;
     }
+    const {entry} = request;
+    if (this.startAtIdleServer(request, now)) return;
     const ranked = rankGuards(
-      this.servers.map(({index, queue, estimator, running}) => ({
-        node: asId<NodeId>(String(index)),
-        dataCentre,
-        verdict: this.getVerdict(estimator, running, now),
-        slots: this.pattern.slots,
-        freeSlots: queue.getCounts(now).free,
-        queuedRequests: queue.countWaiting(),
-        slotsAgeMs: 0,
-        unansweredMs: 0,
-        replyTimeMs: 1,
-      })),
-      dataCentre,
+      this.servers.map(server => this.makeGuardView(server, entry, now)),
+      entry.dataCentre,
       request.kind.isIdempotent,
       this.random,
     );
@@ -202,6 +168,7 @@
       const server = this.servers[Number(node)];
       server.queue.add(request, slotRequest, now);
       this.startRuns(server, now);
+      this.recordReport(server, entry, now);
       if (!server.queue.isWaiting(request))
         return this.cancelWaiting(request, server);
       waits.push(server.queue.estimateWait(slotRequest, now));
@@ -214,6 +181,72 @@
     }
   }
 
+  /** Tells some entries that a server is idle, as a guard does. */
+  private reportIdle(server: Server, now: number): void {
+    const {index, queue, estimator, running, idleReports} = server;
+    if (queue.getCounts(now).free === 0) return;
+    const verdict = this.getVerdict(estimator, running, now);
+    const idleMs = estimator.getIdleTime(now);
+    const wanted = idleReports.claimReport(verdict, idleMs, now);
+    if (!wanted) return;
+    for (let sent = 0; sent < reportedEntries; sent += 1) {
+      const drawn = Math.floor(this.random() * this.entries.length);
+      const node = asId<NodeId>(String(index));
+      this.entries[drawn].idleReports.record(service, node, wanted, now);
+    }
+  }
+
+  /** Starts a request at a server that was reported idle and still is; returns false if there is none. */
+  private startAtIdleServer(request: Request, now: number): boolean {
+    const {isIdempotent} = request.kind;
+    const {idleReports} = request.entry;
+    const node =
+      request.runs === 0
+        ? idleReports.claim(service, isIdempotent, () => true, now)
+        : undefined;
+    if (node === undefined) return false;
+    const server = this.servers[Number(node)];
+    const verdict = this.getVerdict(server.estimator, server.running, now);
+    const idleMs = server.estimator.getIdleTime(now);
+    const wanted = findWantedRequests(verdict, idleMs);
+    if (!isWantedRequest(wanted, isIdempotent)) return false;
+    server.queue.add(
+      request,
+      {...this.makeSlotRequest(request), isForIdle: true},
+      now,
+    );
+    this.startRuns(server, now);
+    const isStarted = !server.queue.isWaiting(request);
+    if (!isStarted) server.queue.release(request);
+    return isStarted;
+  }
+
+  private makeGuardView(
+    server: Server,
+    entry: EntryView,
+    now: number,
+  ): GuardView {
+    const {index, dataCentre, estimator, running} = server;
+    if (this.entries.length === 1) this.recordReport(server, entry, now);
+    const reported = entry.reported.get(server);
+    return {
+      node: asId<NodeId>(String(index)),
+      dataCentre,
+      verdict: this.getVerdict(estimator, running, now),
+      slots: this.pattern.slots,
+      freeSlots: reported?.free ?? this.pattern.slots,
+      queuedRequests: reported?.waiting ?? 0,
+      slotsAgeMs: reported ? now - reported.at : Infinity,
+      unansweredMs: 0,
+      replyTimeMs: 1,
+    };
+  }
+
+  /** Records what a reply of the guard tells the entry. */
+  private recordReport(server: Server, entry: EntryView, now: number): void {
+    entry.reported.set(server, {...server.queue.getCounts(now), at: now});
+  }
+
   private makeSlotRequest({kind, arrivedAt}: Request): SlotRequest {
     return {
       route: asId<RouteId>(kind.name),
@@ -224,6 +257,7 @@
       targetAt: arrivedAt + kind.targetMs,
       deadlineAt: arrivedAt + kind.deadlineMs,
       share: 1 / Math.min(maxGuardsAsked, this.servers.length),
+      isForIdle: false,
     };
   }
 
@@ -252,8 +286,11 @@
     for (;;) {
       const {estimator, queue, running} = server;
       const verdict = this.getVerdict(estimator, running, now);
-      const next = queue.claimNext(now, ({isIdempotent}) =>
-        estimator.canRun(verdict, isIdempotent, queue.countRunning(), now),
+      const next = queue.claimNext(
+        now,
+        ({isIdempotent, isForIdle}) =>
+          isForIdle ||
+          estimator.canRun(verdict, isIdempotent, queue.countRunning(), now),
       );
       if (!next) return;
       estimator.recordStart(now);
@@ -313,6 +350,7 @@
       const startedAt = server.running.get(request) ?? now;
       server.running.delete(request);
       server.queue.release(request);
+      this.recordReport(server, request.entry, now);
       const limit = this.pattern.getLimit?.(server.index, now);
       server.queue.rateLimit.setLimit(limit, now);
       server.estimator.recordEnd(
@@ -336,47 +374,4 @@
       }
     }
   }
-
-  private computeResult(): SimulationResult {
-    const isInTarget = ({endedAt, arrivedAt, kind}: Request) =>
-      endedAt !== undefined && endedAt - arrivedAt <= kind.targetMs;
-    const measure = (
-      requests: readonly Request[],
-      isCounted: (request: Request) => boolean,
-    ) => requests.filter(isCounted).length / Math.max(1, requests.length);
-    const listBetween = (from: number, until: number) =>
-      this.requests.filter(
-        ({arrivedAt}) => arrivedAt >= from && arrivedAt < until,
-      );
-    const isServed = ({endedAt}: Request) => endedAt !== undefined;
-    const windows: number[] = [];
-    for (let from = 0; from < this.pattern.lengthMs; from += 2000) {
-      windows.push(measure(listBetween(from, from + 2000), isInTarget));
-    }
-    return {
-      inTarget: measure(this.requests, isInTarget),
-      served: measure(this.requests, isServed),
-      worstClass: Math.min(
-        ...this.pattern.classes.map(kind =>
-          measure(
-            this.requests.filter(request => request.kind === kind),
-            isInTarget,
-          ),
-        ),
-      ),
-      worstWindow: Math.min(...windows),
-      wasted: this.wastedMs / Math.max(1, this.busyMs),
-      failedRuns: this.failedRuns,
-      heldToEnd: measure(
-        this.requests,
-        ({refusedAt, arrivedAt, kind, runs}) =>
-          runs === 0 &&
-          refusedAt !== undefined &&
-          refusedAt - arrivedAt >= kind.deadlineMs * 0.75,
-      ),
-      starts: this.servers.map(({starts}) => starts),
-      getServedBetween: (from, until) =>
-        measure(listBetween(from, until), isServed),
-    };
-  }
 }
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -22,6 +22,7 @@
     onPeerUp: handleNothing,
     onPeerDown: handleNothing,
     onGuardChange: handleNothing,
+    onIdleReport: () => undefined,
     onHeard: () => undefined,
     onActiveExchanges: handleNothing,
     onRoutingVersion: handleNothing,
--- a/test/sidecar/request_task.test.ts
+++ b/test/sidecar/request_task.test.ts
@@ -12,7 +12,7 @@
   ServiceId,
   systemClock,
 } from '../../src/base/index.js';
-import {RunDurationEstimator} from '../../src/dispatch/index.js';
+import {IdleReports, RunDurationEstimator} from '../../src/dispatch/index.js';
 import {GuardMessage, MeshMessage} from '../../src/mesh/index.js';
 import {
   CallerResponse,
@@ -101,6 +101,7 @@
     response,
     {
       calls,
+      idleReports: new IdleReports(),
       runDurations: new RunDurationEstimator(),
       metrics: buildMetrics(new Registry()),
       dataCentre,
