Read the newest records again when the store was restored from a copy

What callers would see: an added route that is not served, or a change that stays out of force until the next one. Cause: a follower kept its offset across a restore of the store, after which offsets are given out again; records before the kept offset are in no page that follows. Class: a position without the epoch in which it is valid. The node joins its directory again then, as the copy may lack its record.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -84,6 +84,7 @@
         this.mesh.publish({kind: 'version', version: routing.version});
       },
       () => this.mesh.countNodes(),
+      () => this.joinDirectory(this.abortController.signal),
       this.metrics,
       clock,
       Math.random,
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -7,7 +7,7 @@
   Random,
   ServiceId,
 } from '../base/index.js';
-import {KeyedRecord, KeyedStore} from './keyed_store.js';
+import {KeyedRecord, KeyedStore, StoreEpoch} from './keyed_store.js';
 import {StoreMetrics} from './metrics.js';
 import {Routing} from './routing.js';
 
@@ -38,6 +38,12 @@
 /** A peer's newer configuration is requested if the store has not delivered it within this time. */
 const routingRequestDelayMs: Millis = 400;
 
+/** Where to go on reading, and the epoch of the store in which that offset is valid. */
+interface Position {
+  readonly offset: number;
+  readonly epoch: StoreEpoch;
+}
+
 /** Location and format of the operator's configuration in the store. */
 export interface RoutingSource {
   readonly topic: string;
@@ -53,12 +59,15 @@
   private pollController = new AbortController();
   /** Times at which the newest records are to be listed again; increasing. */
   private relistTimes: readonly Millis[] = [];
+  private epoch: StoreEpoch | undefined;
 
   constructor(
     private readonly store: KeyedStore,
     private readonly source: RoutingSource,
     private readonly onChange: (routing: Routing) => void,
     private readonly countNodes: () => number,
+    /** Called when the store has come back from an older copy. */
+    private readonly onStoreRestored: () => void,
     private readonly metrics: StoreMetrics,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -126,7 +135,7 @@
 
   /** Follows the store until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let from: number | undefined;
+    let from: Position | undefined;
     let retryDelayMs = minRetryDelayMs;
     let gapDelayMs: Millis = 0;
     let hasListed = false;
@@ -167,24 +176,30 @@
     }
   }
 
-  private async readNewest(signal: AbortSignal): Promise<number> {
-    const {records, end} = await this.countCall('newest', () =>
+  private async readNewest(signal: AbortSignal): Promise<Position> {
+    const {records, end, epoch} = await this.countCall('newest', () =>
       this.store.listNewest(this.source.topic, signal),
     );
     this.applyRecords(records);
-    return end;
+    this.recordEpoch(epoch);
+    return {offset: end, epoch};
   }
 
   private async readNext(
-    from: number,
+    {offset, epoch}: Position,
     signal: AbortSignal,
-  ): Promise<number | undefined> {
+  ): Promise<Position | undefined> {
     const page = await this.countCall('follow', () =>
-      this.store.follow(this.source.topic, from, this.choosePollWait(), signal),
+      this.store.follow(
+        this.source.topic,
+        offset,
+        this.choosePollWait(),
+        signal,
+      ),
     );
     if (!page) {
       this.logger.warn(
-        {from},
+        {offset},
         'offset no longer retained in the store; reading the newest records',
       );
       return undefined;
@@ -196,9 +211,25 @@
       );
     }
     this.applyRecords(page.records);
+    this.recordEpoch(page.epoch);
+    // The offset was given out again: what was written before it since the restore is in no page that follows.
+    if (page.epoch !== epoch) return undefined;
     if (page.records.length > 0)
       await this.clock.sleep(coalesceDelayMs, signal);
-    return page.end;
+    return {offset: page.end, epoch};
+  }
+
+  private recordEpoch(epoch: StoreEpoch): void {
+    if (epoch === this.epoch) return;
+    const before = this.epoch;
+    this.epoch = epoch;
+    // The first answer names the epoch in which this process starts.
+    if (before === undefined) return;
+    this.logger.warn(
+      {epoch, before, inForce: this.getVersion()},
+      'platform store restored from an older copy',
+    );
+    this.onStoreRestored();
   }
 
   private choosePollWait(): Millis {
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -10,12 +10,19 @@
   readonly value: Buffer;
 }
 
+/** State of the store at one time. */
+export type StoreCopy = ReadonlyMap<string, readonly StoredRecord[]>;
+
 /** Stand-in for the platform's log store, with compacted topics, long polls and injected faults. */
 export class StoreStandIn {
   mode: StoreMode = 'ok';
   readonly calls: string[] = [];
+  /** Called when an append of a node was acknowledged. */
+  onAppend: () => void = () => undefined;
   private readonly server: Server;
   private readonly topics = new Map<string, StoredRecord[]>();
+  /** Number of times the store has come back from a copy. */
+  private era = 0;
   private firstKept = 0;
   private waiting: (() => void)[] = [];
   private readonly sockets = new Set<Socket>();
@@ -23,7 +30,7 @@
   /** Whether stale listings also report the end offset of that time. */
   hasStaleEnd = false;
   /** Newest records as they were before the store became stale; undefined while listings are current. */
-  private staleTopics: Map<string, readonly StoredRecord[]> | undefined;
+  private staleTopics: StoreCopy | undefined;
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -76,6 +83,23 @@
     for (const wake of this.waiting.splice(0)) wake();
   }
 
+  listKeys(topic: string): readonly string[] {
+    return [...new Set(this.getTopic(topic).map(({key}) => key))];
+  }
+
+  makeCopy(): StoreCopy {
+    return new Map(
+      [...this.topics].map(([topic, records]) => [topic, [...records]]),
+    );
+  }
+
+  /** Replaces all records by those of a copy, whose offsets are then given out again. Reads that wait go on waiting. */
+  restore(copy: StoreCopy): void {
+    this.era += 1;
+    this.topics.clear();
+    for (const [topic, records] of copy) this.topics.set(topic, [...records]);
+  }
+
   /** Makes all open connections silent for good, without a reset; new ones work. */
   freezeConnections(): void {
     for (const socket of this.sockets) this.frozenSockets.add(socket);
@@ -84,9 +108,7 @@
 
   /** Lists newest records from now on as they are at this moment, although the end offset grows. */
   startStaleListings(): void {
-    this.staleTopics = new Map(
-      [...this.topics].map(([topic, records]) => [topic, [...records]]),
-    );
+    this.staleTopics = this.makeCopy();
   }
 
   endStaleListings(): void {
@@ -103,6 +125,9 @@
   }
 
   private answer(url: URL, body: Buffer, response: ServerResponse): void {
+    // A read whose wait has ended is still among those that a write wakes.
+    if (response.headersSent) return;
+    response.setHeader('store-era', this.era);
     if (this.mode === 'down') return void response.destroy();
     if (this.mode === 'silent') return;
     if (this.mode === 'busy') {
@@ -116,7 +141,8 @@
         const key = body.toString('utf8', 5, 5 + keyLength);
         this.write(topic, key, body.subarray(5 + keyLength));
         if (this.mode === 'lose-answers') return void response.destroy();
-        return void response.end(JSON.stringify({offset: 0, end: 0}));
+        response.end(JSON.stringify({offset: 0, end: 0}));
+        return this.onAppend();
       }
       case '/api/log-newest':
         return this.answerNewest(topic, response);
@@ -147,15 +173,17 @@
   ): void {
     const from = Number(query.get('from'));
     const records = this.getTopic(topic);
-    if (from < this.firstKept) {
+    if (from < this.firstKept || from > records.length) {
       response.writeHead(410).end(JSON.stringify({first: this.firstKept}));
       return;
     }
     const sendPage = () => {
       if (response.socket && this.frozenSockets.has(response.socket)) return;
       const head = Buffer.alloc(16);
-      head.writeBigUInt64BE(BigInt(records.length), 0);
-      const rest = records
+      const current = this.getTopic(topic);
+      head.writeBigUInt64BE(BigInt(current.length), 0);
+      response.setHeader('store-era', this.era);
+      const rest = current
         .slice(from)
         .map(({key, value}) => encodeKeyedRecord(key, value));
       response.end(Buffer.concat([head, ...rest]));
--- a/test/platform/test_fleet.ts
+++ b/test/platform/test_fleet.ts
@@ -118,6 +118,12 @@
     await node.start();
   }
 
+  /** Kills all nodes at the same time, so that none can tell another what it knew, and starts them again. */
+  async restartAll(t: ExecutionContext): Promise<void> {
+    for (const {node} of this.vms) node.abort();
+    await Promise.all(this.vms.map((_, index) => this.restartNode(t, index)));
+  }
+
   async addVm(t: ExecutionContext): Promise<Vm> {
     const index = this.vms.length + 1;
     const host = `127.0.1.${index}`;
