Store a node's record again when the store has lost it

What callers would see: a server that has left gets requests after a restart of all nodes, or new nodes do not find older ones. Cause: a node wrote its address when it joined and a departure when it was acknowledged, and never again; and a join could write in one era and read in the next, or take its record for stored with an older departure. Class: a write taken as permanent. A join now repeats until record and listing are of the same era, and compares departures.

--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -12,7 +12,7 @@
   parseJson,
 } from '../base/index.js';
 import {Departure} from './backend_tracker.js';
-import {KeyedRecord, KeyedStore} from './keyed_store.js';
+import {KeyedRecord, KeyedStore, StoreEpoch} from './keyed_store.js';
 import {StoreMetrics} from './metrics.js';
 
 const minRetryDelayMs: Millis = 200;
@@ -40,6 +40,8 @@
   private own: DirectoryEntry | undefined;
   private hasJoined = false;
   private pendingWrite: Promise<void> = Promise.resolve();
+  /** Epoch of the store in which it acknowledged or listed this node's record. */
+  private ownEpoch: StoreEpoch | undefined;
 
   constructor(
     private readonly store: KeyedStore,
@@ -53,7 +55,10 @@
     return this.hasJoined;
   }
 
-  /** Writes this node's record and reads those of all nodes, retrying until it succeeds. */
+  /**
+   * Writes this node's record and reads those of all nodes, retrying until both have happened in the same epoch of the
+   * store. To be called again when the store was restored from a copy, which may lack records of this and other nodes.
+   */
   async join(
     own: DirectoryEntry,
     signal: AbortSignal,
@@ -62,15 +67,8 @@
     let retryDelayMs = minRetryDelayMs;
     for (;;) {
       try {
-        const before = await this.read(signal);
-        const earlier = before.find(({node}) => node === own.node);
-        this.own = {...earlier, ...this.own};
-        const isKnown = earlier?.address === own.address;
-        if (!isKnown) await this.write();
-        const known = isKnown ? before : await this.read(signal);
-        this.hasJoined = true;
-        this.logger.info({nodes: known.length, isKnown}, 'joined the fleet');
-        return known;
+        const entries = await this.exchangeRecords(this.own, signal);
+        if (entries) return entries;
       } catch (error) {
         if (signal.aborted) return [];
         this.logger.warn(
@@ -83,14 +81,33 @@
     }
   }
 
+  /** Reads all records, after this node's own is stored; returns undefined if the store was restored in between. */
+  private async exchangeRecords(
+    own: DirectoryEntry,
+    signal: AbortSignal,
+  ): Promise<readonly DirectoryEntry[] | undefined> {
+    const before = await this.read(signal);
+    const stored = before.entries.find(({node}) => node === own.node);
+    this.own = {...stored, ...own, ...this.own};
+    const isKnown =
+      stored?.address === own.address &&
+      isSameDeparture(stored.departure, this.own.departure);
+    if (isKnown) this.ownEpoch = before.epoch;
+    else await this.write();
+    const {entries, epoch} = isKnown ? before : await this.read(signal);
+    if (epoch !== this.ownEpoch) return undefined;
+    this.hasJoined = true;
+    this.logger.info(
+      {nodes: entries.length, isKnown, epoch},
+      'joined the fleet',
+    );
+    return entries;
+  }
+
   /** Stores the departure of a backend process, so that the next process of this node rejects its late reports. */
   recordDeparture(departure: Departure): Promise<void> {
     const known = this.own?.departure;
-    if (
-      !this.own ||
-      (known?.server === departure.server &&
-        known.startedAtMs === departure.startedAtMs)
-    ) {
+    if (!this.own || isSameDeparture(known, departure)) {
       return this.pendingWrite;
     }
     this.own = {...this.own, departure};
@@ -105,19 +122,23 @@
     return this.pendingWrite;
   }
 
-  private async read(signal: AbortSignal): Promise<readonly DirectoryEntry[]> {
+  private async read(signal: AbortSignal): Promise<{
+    readonly entries: readonly DirectoryEntry[];
+    readonly epoch: StoreEpoch;
+  }> {
     this.metrics.calls.inc({call: 'list-nodes', result: 'started'});
-    const {records} = await this.store.listNewest(this.topic, signal);
-    return records
+    const {records, epoch} = await this.store.listNewest(this.topic, signal);
+    const entries = records
       .map(record => this.decode(record))
       .filter(entry => entry !== undefined);
+    return {entries, epoch};
   }
 
   private async write(): Promise<void> {
     if (!this.own) return;
     this.metrics.calls.inc({call: 'put-node', result: 'started'});
     const {node, address, departure} = this.own;
-    await this.store.put(
+    this.ownEpoch = await this.store.put(
       this.topic,
       node,
       Buffer.from(JSON.stringify({address, departure})),
@@ -145,3 +166,10 @@
     };
   }
 }
+
+function isSameDeparture(
+  a: Departure | undefined,
+  b: Departure | undefined,
+): boolean {
+  return a?.server === b?.server && a?.startedAtMs === b?.startedAtMs;
+}
--- a/test/platform/restored_store.test.ts
+++ b/test/platform/restored_store.test.ts
@@ -3,7 +3,7 @@
 
 import test from 'ava';
 import {asId, ServiceId, systemClock} from '../../src/base/index.js';
-import {makeGrownConfig, TestFleet} from './test_fleet.js';
+import {makeGrownConfig, TestFleet, waitUntil} from './test_fleet.js';
 
 const service = asId<ServiceId>('bench');
 /** Time from the confirmation of a change until it must be in force, at the first users. */
@@ -62,6 +62,59 @@
   for (const vm of vms) t.is((await fleet.send(vm, '/v2/x')).status, 200);
 });
 
+test('a departure is stored again when the store comes back without it, and outlives all nodes', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 2);
+  const {store, vms} = fleet;
+  const copy = store.makeCopy();
+  const [{backend}] = vms;
+  await backend.announce('draining');
+  await systemClock.sleep(300);
+  store.restore(copy);
+  await systemClock.sleep(noticeMs);
+  await fleet.restartAll(t);
+  // A late report of the server that has left.
+  t.is(await backend.announce('ready'), 409);
+  await vms[1].backend.announce();
+  await waitUntil(() => vms[1].node.listGuards(service).length > 0);
+  await systemClock.sleep(300);
+  t.deepEqual(
+    vms[1].node.listGuards(service).map(({node}) => node),
+    [vms[1].settings.node],
+  );
+});
+
+test('a node whose address is gone from the store is found by nodes that start later', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 1);
+  const {store} = fleet;
+  const copy = store.makeCopy();
+  await fleet.addVm(t);
+  await fleet.announce();
+  await fleet.waitForGuards(2);
+  store.restore(copy);
+  await fleet.addVm(t);
+  await fleet.announce();
+  await fleet.waitForGuards(3);
+  t.pass();
+});
+
+test('a node whose address is lost while it joins finds the others', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 1);
+  const {store} = fleet;
+  const copy = store.makeCopy();
+  store.onAppend = () => {
+    store.onAppend = () => undefined;
+    store.restore(copy);
+  };
+  await fleet.addVm(t);
+  await fleet.addVm(t);
+  await fleet.announce();
+  await fleet.waitForGuards(3);
+  t.pass();
+});
+
 test('two restores in a row lose nothing', async t => {
   const fleet = new TestFleet();
   await fleet.start(t, 2);
