Write a departure until the store has it

What callers would see: a server that left while the store was away gets requests again after all nodes have restarted. Cause: a write of a departure that failed was logged and dropped. It is now repeated with a growing pause.

--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -42,6 +42,7 @@
   private pendingWrite: Promise<void> = Promise.resolve();
   /** Epoch of the store in which it acknowledged or listed this node's record. */
   private ownEpoch: StoreEpoch | undefined;
+  private signal: AbortSignal | undefined;
 
   constructor(
     private readonly store: KeyedStore,
@@ -64,6 +65,7 @@
     signal: AbortSignal,
   ): Promise<readonly DirectoryEntry[]> {
     this.own ??= own;
+    this.signal = signal;
     let retryDelayMs = minRetryDelayMs;
     for (;;) {
       try {
@@ -111,17 +113,26 @@
       return this.pendingWrite;
     }
     this.own = {...this.own, departure};
-    this.pendingWrite = this.pendingWrite
-      .then(() => this.write())
-      .catch(error =>
-        this.logger.warn(
-          {departure, error: describeError(error)},
-          'departure not stored; only this process rejects late reports',
-        ),
-      );
+    this.pendingWrite = this.pendingWrite.then(() => this.writeUntilStored());
     return this.pendingWrite;
   }
 
+  private async writeUntilStored(): Promise<void> {
+    let retryDelayMs = minRetryDelayMs;
+    while (!this.signal?.aborted) {
+      try {
+        return await this.write();
+      } catch (error) {
+        this.logger.warn(
+          {departure: this.own?.departure, error: describeError(error)},
+          'departure not stored yet, retrying; peers know it as well',
+        );
+        await this.clock.sleep(retryDelayMs, this.signal);
+        retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
+      }
+    }
+  }
+
   private async read(signal: AbortSignal): Promise<{
     readonly entries: readonly DirectoryEntry[];
     readonly epoch: StoreEpoch;
--- a/test/platform/restored_store.test.ts
+++ b/test/platform/restored_store.test.ts
@@ -84,6 +84,27 @@
   );
 });
 
+test('a departure that could not be written is written when the store is available again', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 2);
+  const {store, vms} = fleet;
+  const [{backend}] = vms;
+  store.mode = 'busy';
+  await backend.announce('draining');
+  await systemClock.sleep(1000);
+  store.mode = 'ok';
+  await systemClock.sleep(noticeMs);
+  await fleet.restartAll(t);
+  t.is(await backend.announce('ready'), 409);
+  await vms[1].backend.announce();
+  await waitUntil(() => vms[1].node.listGuards(service).length > 0);
+  await systemClock.sleep(300);
+  t.deepEqual(
+    vms[1].node.listGuards(service).map(({node}) => node),
+    [vms[1].settings.node],
+  );
+});
+
 test('a node whose address is gone from the store is found by nodes that start later', async t => {
   const fleet = new TestFleet();
   await fleet.start(t, 1);
