Wait for the version of the peers before a node is ready

What callers would see: a node that starts after a restore serves with the copy's older configuration until it has asked a peer. Cause: it was ready with any version, and asked 0.4 s after it heard of a newer one; each linked peer was asked for the document at the same time. A node now counts as behind while a peer names a newer version, is ready once it has it (within the 2.5 s allowed for links), and asks one peer at a time.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -236,6 +236,7 @@
     await this.waitUntil(
       () =>
         this.directory.isJoined() &&
+        !this.follower.isBehindPeers() &&
         this.mesh.countLinkedNodes() >= this.mesh.countNodes(),
       linkTimeoutMs,
     );
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -38,6 +38,9 @@
 /** A peer's newer configuration is requested if the store has not delivered it within this time. */
 const routingRequestDelayMs: Millis = 400;
 
+/** Time for a peer to answer such a request before another peer is asked. */
+const routingRequestTimeoutMs: Millis = 800;
+
 /** Where to go on reading, and the epoch of the store in which that offset is valid. */
 interface Position {
   readonly offset: number;
@@ -60,6 +63,9 @@
   /** Times at which the newest records are to be listed again; increasing. */
   private relistTimes: readonly Millis[] = [];
   private epoch: StoreEpoch | undefined;
+  /** Newest version that a peer has in force. */
+  private peerVersion = -1;
+  private lastRequestAt = -Infinity;
 
   constructor(
     private readonly store: KeyedStore,
@@ -120,11 +126,23 @@
     return true;
   }
 
-  /** Requests the configuration from a peer that has a newer version, unless the store delivers it first. */
+  /** Whether a peer has a newer version in force; a store that was restored from a copy may not have it. */
+  isBehindPeers(): boolean {
+    return this.peerVersion > this.getVersion();
+  }
+
+  /** Requests the configuration from a peer that has a newer version, unless the store or another peer delivers it. */
   onPeerVersion(version: number, request: (above: number) => void): void {
     if (version <= this.getVersion()) return;
+    this.peerVersion = Math.max(this.peerVersion, version);
     this.clock.startTimer(routingRequestDelayMs, () => {
-      if (version > this.getVersion()) request(this.getVersion());
+      if (version <= this.getVersion()) return;
+      const now = this.clock.getTime();
+      if (now - this.lastRequestAt < routingRequestTimeoutMs) {
+        return this.onPeerVersion(version, request);
+      }
+      this.lastRequestAt = now;
+      request(this.getVersion());
     });
   }
 
--- a/test/platform/restored_store.test.ts
+++ b/test/platform/restored_store.test.ts
@@ -62,6 +62,18 @@
   for (const vm of vms) t.is((await fleet.send(vm, '/v2/x')).status, 200);
 });
 
+test('a node that starts after the store came back is not ready with an older version than its peers have', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 2);
+  const {store} = fleet;
+  const copy = store.makeCopy();
+  store.writeConfig(makeGrownConfig(2));
+  await systemClock.sleep(500);
+  store.restore(copy);
+  const added = await fleet.addVm(t);
+  t.is((await fleet.send(added, '/v2/x')).status, 200);
+});
+
 test('a departure is stored again when the store comes back without it, and outlives all nodes', async t => {
   const fleet = new TestFleet();
   await fleet.start(t, 2);
