--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -351,18 +351,11 @@
   }
 
   private reportIdle(service: ServiceId, wanted: WantedRequests): void {
-    sendIdleReports(
-      this.mesh.listPeers(),
-      {service, wanted},
-      () =>
-        this.idleReports.record(
-          service,
-          this.settings.node,
-          wanted,
-          this.clock.getTime(),
-        ),
-      Math.random,
-    );
+    const {node} = this.settings;
+    const now = this.clock.getTime();
+    const recordOwn = () => this.idleReports.record(service, node, wanted, now);
+    const peers = this.mesh.listPeers();
+    sendIdleReports(peers, {service, wanted}, recordOwn, Math.random);
   }
 
   private reportSuspicion(node: NodeId, guard: GuardState): void {
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -69,7 +69,7 @@
     let retryDelayMs = minRetryDelayMs;
     for (;;) {
       try {
-        const entries = await this.exchangeRecords(this.own, signal);
+        const entries = await this.joinOnce(this.own, signal);
         if (entries) return entries;
       } catch (error) {
         if (signal.aborted) return [];
@@ -84,7 +84,7 @@
   }
 
   /** Reads all records, after this node's own is stored; returns undefined if the store was restored in between. */
-  private async exchangeRecords(
+  private async joinOnce(
     own: DirectoryEntry,
     signal: AbortSignal,
   ): Promise<readonly DirectoryEntry[] | undefined> {
--- a/test/platform/restored_store.test.ts
+++ b/test/platform/restored_store.test.ts
@@ -22,7 +22,7 @@
   const copy = store.makeCopy();
   store.write('keyed.op', 'other', Buffer.from('{}'));
   await systemClock.sleep(pauseMs);
-  store.restore(copy);
+  store.resetTo(copy);
   store.writeConfig(makeGrownConfig(3));
   store.write('keyed.op', 'other', Buffer.from('{}'));
   await systemClock.sleep(applyMs);
@@ -36,7 +36,7 @@
   const copy = store.makeCopy();
   for (const version of [2, 3, 4]) store.writeConfig(makeGrownConfig(version));
   await systemClock.sleep(1000);
-  store.restore(copy);
+  store.resetTo(copy);
   await systemClock.sleep(noticeMs);
   store.writeConfig(makeGrownConfig(4));
   store.writeConfig(makeGrownConfig(5));
@@ -55,7 +55,7 @@
   store.writeConfig(makeGrownConfig(2));
   await systemClock.sleep(500);
   store.mode = 'down';
-  store.restore(copy);
+  store.resetTo(copy);
   await systemClock.sleep(200);
   store.mode = 'ok';
   await systemClock.sleep(applyMs);
@@ -69,7 +69,7 @@
   const copy = store.makeCopy();
   store.writeConfig(makeGrownConfig(2));
   await systemClock.sleep(500);
-  store.restore(copy);
+  store.resetTo(copy);
   const added = await fleet.addVm(t);
   t.is((await fleet.send(added, '/v2/x')).status, 200);
 });
@@ -82,7 +82,7 @@
   const [{backend}] = vms;
   await backend.announce('draining');
   await systemClock.sleep(300);
-  store.restore(copy);
+  store.resetTo(copy);
   await systemClock.sleep(noticeMs);
   await fleet.restartAll(t);
   // A late report of the server that has left.
@@ -125,7 +125,7 @@
   await fleet.addVm(t);
   await fleet.announce();
   await fleet.waitForGuards(2);
-  store.restore(copy);
+  store.resetTo(copy);
   await fleet.addVm(t);
   await fleet.announce();
   await fleet.waitForGuards(3);
@@ -139,7 +139,7 @@
   const copy = store.makeCopy();
   store.onAppend = () => {
     store.onAppend = () => undefined;
-    store.restore(copy);
+    store.resetTo(copy);
   };
   await fleet.addVm(t);
   await fleet.addVm(t);
@@ -156,9 +156,9 @@
   store.writeConfig(makeGrownConfig(2));
   await fleet.addVm(t);
   await systemClock.sleep(500);
-  store.restore(copy);
+  store.resetTo(copy);
   await systemClock.sleep(200);
-  store.restore(copy);
+  store.resetTo(copy);
   await systemClock.sleep(noticeMs);
   store.writeConfig(makeGrownConfig(2));
   store.writeConfig(makeGrownConfig(3));
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -94,7 +94,7 @@
   }
 
   /** Replaces all records by those of a copy, whose offsets are then given out again. Reads that wait go on waiting. */
-  restore(copy: StoreCopy): void {
+  resetTo(copy: StoreCopy): void {
     this.era += 1;
     this.topics.clear();
     for (const [topic, records] of copy) this.topics.set(topic, [...records]);
