--- a/test/sidecar/node_directory.test.ts
+++ b/test/sidecar/node_directory.test.ts
@@ -10,30 +10,25 @@
 import {buildMetrics} from '../../src/sidecar/metrics.js';
 import {NodeDirectory} from '../../src/sidecar/node_directory.js';
 
-/** A store that comes back without any record after its first write. */
-class ForgetfulStore implements KeyedStore {
-  epoch = 0;
-  private records: KeyedRecord[] = [];
-
-  async listNewest() {
-    return {records: this.records, end: 0, epoch: this.epoch};
-  }
-
-  async follow() {
-    return undefined;
-  }
-
-  async put(_topic: string, key: string, value: Buffer) {
-    const {epoch} = this;
-    this.records = epoch === 0 ? [] : [{key, value}];
-    this.epoch = 1;
-    return epoch;
-  }
+/** Makes a store that comes back without any record after its first write. */
+function makeForgetfulStore(): KeyedStore {
+  let epoch = 0;
+  let records: readonly KeyedRecord[] = [];
+  return {
+    listNewest: async () => ({records, end: 0, epoch}),
+    follow: async () => undefined,
+    put: async (_topic, key, value) => {
+      const written = epoch;
+      records = written === 0 ? [] : [{key, value}];
+      epoch = 1;
+      return written;
+    },
+  };
 }
 
 test('a node whose record is lost between the write and the listing of a join writes it again', async t => {
   const directory = new NodeDirectory(
-    new ForgetfulStore(),
+    makeForgetfulStore(),
     'nodes',
     buildMetrics(new Registry()),
     systemClock,
