Take no refusal without an id on a used connection as that of the request

What callers would see: 'not run' for a request that the server is running, which may then run twice. Cause: a refusal without a request id counted as not run on any connection; on one that has carried an answer it may be an earlier refusal, written once more. It now counts as a stray answer (may have run, connections not reused for 6 s).

Evidence, tests of the real node against a server that writes raw bytes: 'written once more without an id' fails on (503 where 502 is expected). Green there: a copy with the id of an earlier request, one with the same id (a connection ends with a refusal), sixteen heads that end before they are complete and four chunked bodies, each on connections that are closed or reset. Test fleets get loopback addresses of their own, as one file now starts more than ten of them.

--- a/src/sidecar/backend_client.ts
+++ b/src/sidecar/backend_client.ts
@@ -106,7 +106,12 @@
     }
     // With `raw`, undici returns the headers as a flat list, contrary to its types.
     const headers = response.headers as unknown as string[];
-    const problem = this.findProblem(request, response.statusCode, headers);
+    const problem = this.findProblem(
+      request,
+      connection,
+      response.statusCode,
+      headers,
+    );
     if (!problem || problem.reason === 'shed') {
       sink.onNotice(parseServerNotice(headers));
     }
@@ -147,6 +152,7 @@
 
   private findProblem(
     request: BackendRequest,
+    connection: BackendConnection,
     status: number,
     headers: string[],
   ): Extract<BackendOutcome, {kind: 'failed'}> | undefined {
@@ -160,6 +166,17 @@
         detail: `the response carries request id ${echoedId}`,
       };
     }
+    const isNotRun =
+      findHeader(headers, headerNames.notRun) !== undefined || status === 421;
+    if (isNotRun && echoedId === undefined && connection.hasAnswered) {
+      this.noReuseUntil = this.clock.getTime() + noReuseMs;
+      return {
+        kind: 'failed',
+        reason: 'stray-answer',
+        mayHaveRun: true,
+        detail: `a refusal without a request id, status ${status}, on a used connection`,
+      };
+    }
     if (status === 421) {
       return {
         kind: 'failed',
--- a/src/sidecar/backend_connection_pool.ts
+++ b/src/sidecar/backend_connection_pool.ts
@@ -11,6 +11,8 @@
   readonly client: Client;
   /** Whether the connection failed; undici does not report this for a response without a content length. */
   hasFailed: boolean;
+  /** Whether the current socket has carried an answer; what the server writes once more arrives on such a socket. */
+  hasAnswered: boolean;
 }
 
 /** Connections to the backend server of this VM, reused in LIFO order so that surplus ones become idle and close. */
@@ -35,6 +37,7 @@
 
   /** Returns a connection to the pool, or closes it if it failed or may still receive bytes of an earlier exchange. */
   release(connection: BackendConnection, isClean: boolean): void {
+    connection.hasAnswered = true;
     if (isClean && !connection.hasFailed) this.idle.push(connection);
     else void connection.client.destroy();
   }
@@ -47,6 +50,7 @@
     const connection: BackendConnection = {
       address,
       hasFailed: false,
+      hasAnswered: false,
       client: new Client(`http://${address}`, {
         pipelining: 1,
         keepAliveTimeout: idleTimeoutMs,
@@ -56,6 +60,7 @@
         connect: (options, callback) => {
           // The client opens another socket after its idle one was closed.
           connection.hasFailed = false;
+          connection.hasAnswered = false;
           connect(options, (error, socket) => {
             if (error) return callback(error, null);
             socket.on('error', failure => {
--- a/test/platform/test_fleet.ts
+++ b/test/platform/test_fleet.ts
@@ -24,8 +24,10 @@
 
 const pollIntervalMs = 20;
 const timeoutMs = 8000;
-/** Each fleet has its own ports, so that tests can run in parallel. */
-let nextPort = 20_000 + (process.pid % 300) * 100;
+/** Each fleet has its own loopback addresses, so that tests can run in parallel. */
+const basePort = 20_000 + (process.pid % 300) * 100;
+const network = `127.${10 + (process.pid % 240)}`;
+let fleets = 0;
 
 /** One VM with a node and a backend server. */
 export interface Vm {
@@ -91,7 +93,8 @@
 export class TestFleet {
   readonly store = new StoreStandIn();
   readonly vms: Vm[] = [];
-  private readonly basePort = (nextPort += 10);
+  private readonly basePort = basePort;
+  private readonly subnet = `${network}.${(fleets += 1)}`;
   private storeUrl = '';
   private requests = 0;
 
@@ -126,7 +129,7 @@
 
   async addVm(t: ExecutionContext): Promise<Vm> {
     const index = this.vms.length + 1;
-    const host = `127.0.1.${index}`;
+    const host = `${this.subnet}.${index}`;
     const makeAddress = (offset: number) => ({
       host,
       port: this.basePort + offset,
