Refuse requests that the end of a planned stop would cut off

What callers would see: a request that came 2.2 to 2.6 s after SIGTERM was passed on and cut without an answer at the end of the grace period. Cause: a request was taken while 0.7 of its expected time was left; about half of the runs last longer than that. A node that stops now refuses a request, as not run, whose run would outlast the stop with a probability over 0.1, with a Retry-After up to the time at which callers use other nodes.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -142,6 +142,7 @@
         isRefusingRequests: () =>
           this.shutdown.isRefusing(this.clock.getTime()),
         getShutdownDeadline: () => this.shutdown.getDeadline(),
+        getNoticeEnd: () => this.shutdown.getNoticeEnd(),
       },
       clock,
       Math.random,
--- a/src/sidecar/request_task.ts
+++ b/src/sidecar/request_task.ts
@@ -142,7 +142,7 @@
     this.sendError(
       error,
       Math.min(
-        computeRetryAfter(this.search.getShortestWait(), this.random),
+        computeRetryAfter(this.search.getRetryWait(now), this.random),
         Math.max(0, this.request.deadlineAt - now),
       ),
     );
--- a/src/sidecar/shutdown.ts
+++ b/src/sidecar/shutdown.ts
@@ -24,7 +24,12 @@
 
   /** Whether callers have had time to switch to other nodes, so that new requests are refused. */
   isRefusing(now: Millis): boolean {
-    return now > this.startedAt + noticePeriodMs;
+    return now > this.getNoticeEnd();
+  }
+
+  /** Time by which callers have had time to switch to other nodes. */
+  getNoticeEnd(): Millis {
+    return this.startedAt + noticePeriodMs;
   }
 
   /** Time by which all requests must have ended. */
--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -23,6 +23,8 @@
 const noServerTimeoutMs: Millis = 400;
 /** Fraction of the expected run time that must remain before the deadline for an attempt to be worth a slot. */
 export const minRemainingFraction = 0.7;
+/** Largest probability that a run is cut off by the end of the shutdown for which a request is still started. */
+const maxCutProbability = 0.1;
 /** Number of guards that must give up a request before the search ends; their queues are alike. */
 const maxHopelessRefusals = 2;
 
@@ -59,10 +61,12 @@
   listGuards(service: CallerRequest['service']): readonly GuardView[];
   /** Time by which all requests must have ended because the node shuts down; Infinity until it does. */
   getShutdownDeadline(): Millis;
+  /** Time by which callers use other nodes because this one shuts down; Infinity until it does. */
+  getNoticeEnd(): Millis;
 }
 
 /** Why a search ended without a slot. */
-export type SearchFailure = 'expired' | 'busy' | 'no-server';
+export type SearchFailure = 'expired' | 'busy' | 'no-server' | 'leaving';
 
 /** Limit of a server as its guard reported it. */
 export type HeardLimit = NonNullable<SlotCounts['limit']> & {
@@ -110,6 +114,13 @@
     return this.shortestWaitMs;
   }
 
+  /** Wait before a refused caller should come back; not before it uses another node if this one shuts down. */
+  getRetryWait(now: Millis): Millis {
+    return this.isLikelyCut(now)
+      ? Math.max(0, this.context.getNoticeEnd() - now)
+      : this.shortestWaitMs;
+  }
+
   getLastRefusal(): SlotRefusal | 'link-lost' | undefined {
     return this.lastRefusal;
   }
@@ -151,6 +162,7 @@
       Math.min(deadlineAt, this.context.getShutdownDeadline()) - now;
     const expectedMs = this.getExpectedRunTime();
     if (remainingMs < expectedMs * minRemainingFraction) return 'expired';
+    if (this.isLikelyCut(now)) return 'leaving';
     if (this.hopelessRefusals >= maxHopelessRefusals) return 'busy';
     // Ranks guards only if a further one may be asked, which is not the case while a reply to a slot request is awaited.
     const idle = this.claimIdleGuard(now, isRetry);
@@ -211,6 +223,20 @@
     return estimateRunTime(this.context.runDurations, this.request.route);
   }
 
+  /** Whether a run that starts now is likely to last beyond the end of the shutdown. */
+  private isLikelyCut(now: Millis): boolean {
+    const untilEndMs = this.context.getShutdownDeadline() - now;
+    if (untilEndMs === Infinity) return false;
+    const {id, targetMs} = this.request.route;
+    const survival = this.context.runDurations.getSurvivalProbability(
+      id,
+      targetMs,
+      untilEndMs,
+      this.getExpectedRunTime(),
+    );
+    return survival > maxCutProbability;
+  }
+
   private isReplyAwaited(now: Millis): boolean {
     for (const {waitMs, sentAt} of this.pending.values()) {
       if (waitMs === undefined && now - sentAt < replyTimeoutMs) return true;
--- a/test/sidecar/request_task.test.ts
+++ b/test/sidecar/request_task.test.ts
@@ -107,6 +107,7 @@
       dataCentre,
       getCallerService: () => undefined,
       getShutdownDeadline: () => Infinity,
+      getNoticeEnd: () => Infinity,
       listGuards: () =>
         nodes.map(node => ({
           node,
