List the guards for an idle report only when there is one

A search listed all guards of the service for each request, also without a report; in a large fleet that is the most expensive step of a search.

--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -164,14 +164,10 @@
     if (remainingMs < expectedMs * minRemainingFraction) return 'expired';
     if (this.isLikelyCut(now)) return 'leaving';
     if (this.hopelessRefusals >= maxHopelessRefusals) return 'busy';
-    // Ranks guards only if a further one may be asked, which is not the case while a reply to a slot request is awaited.
     const idle = this.claimIdleGuard(now, isRetry);
-    if (idle) {
-      this.requestSlot(idle, now, isRetry, 1, true);
-    } else if (
-      this.pending.size < maxSlotRequests &&
-      !this.isReplyAwaited(now)
-    ) {
+    if (idle) this.requestSlot(idle, now, isRetry, 1, true);
+    // Ranks guards only if a further one may be asked, which is not the case while a reply to a slot request is awaited.
+    if (this.pending.size < maxSlotRequests && !this.isReplyAwaited(now)) {
       const ranked = this.rankCandidates(now);
       const candidates = ranked.length + this.pending.size;
       if (ranked.length > 0) {
@@ -269,20 +265,17 @@
     if (this.hasAsked || isRetry) return undefined;
     this.hasAsked = true;
     const {service, route} = this.request;
-    const {idleReports, dataCentre} = this.context;
-    const guards = this.context.listGuards(service);
-    return idleReports.claim(
-      service,
-      route.isIdempotent,
-      node =>
-        guards.some(
-          guard =>
-            guard.node === node &&
-            isReachable(guard) &&
-            !(route.isBulk && guard.dataCentre !== dataCentre),
-        ),
-      now,
-    );
+    const {idleReports} = this.context;
+    const canAsk = (node: NodeId) =>
+      this.context
+        .listGuards(service)
+        .some(guard => guard.node === node && this.canAskIdle(guard));
+    return idleReports.claim(service, route.isIdempotent, canAsk, now);
+  }
+
+  private canAskIdle(guard: GuardView): boolean {
+    const isLocal = guard.dataCentre === this.context.dataCentre;
+    return isReachable(guard) && (isLocal || !this.request.route.isBulk);
   }
 
   private requestSlot(
