--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,8 +3,7 @@
 // other requests of its clients.
 
 import http from 'node:http';
-import {readFileSync} from 'node:fs';
-import {Backend, bounds, hasTrouble, makeConfig, makeRoute, runCase, sleep} from '../standins/fleet.mjs';
+import {Backend, bounds, hasTrouble, listLost, makeConfig, makeRoute, runCase, sleep, watchMemory} from '../standins/fleet.mjs';
 
 /** Pace at which a client reads, 80 Mbit/s, and at which the server in trouble writes, 0.8 of its link of 1,000 Mbit/s. */
 const clientBytesPerMs = 10_000;
@@ -14,8 +13,6 @@
 const firstEndless = 6;
 const runMs = 75_000;
 const tickMs = 10;
-const memoryCheckMs = 20;
-const restartDelayMs = 500;
 
 class TroubledBackend extends Backend {
   answered = 0;
@@ -44,34 +41,6 @@
   }
 }
 
-/** Kills a process over the memory limit, as the platform does, and starts it again after a short delay. */
-function watchMemory(vm, state) {
-  const timer = setInterval(() => {
-    let rssMb = 0;
-    try {
-      rssMb = Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${vm.child.pid}/status`, 'utf8'))?.[1] ?? 0) / 1024;
-    } catch {
-      return;
-    }
-    state.peakMb = Math.max(state.peakMb ?? 0, rssMb);
-    if (rssMb <= bounds.memoryMb || state.isRestarting) return;
-    state.isRestarting = true;
-    state.ends = (state.ends ?? 0) + 1;
-    vm.recorder.write(`${vm.name} has ${Math.round(rssMb)} MB, over memory_mb ${bounds.memoryMb}: killed by the platform`);
-    void vm.end('SIGKILL').then(async () => {
-      await sleep(restartDelayMs);
-      if (state.isStopped) return;
-      vm.startProcess();
-      state.startedAt = vm.recorder.now();
-      state.isRestarting = false;
-    });
-  }, memoryCheckMs);
-  return () => {
-    state.isStopped = true;
-    clearInterval(timer);
-  };
-}
-
 /** Sends a request whose answer the client reads at its pace, to the end or its deadline. */
 function readAtPace(fleet, vm, path, deadlineMs) {
   fleet.requests += 1;
@@ -140,9 +109,7 @@
   states.forEach((state, at) => recorder.write(`${fleet.vms[at].name}: peak ${Math.round(state.peakMb)} MB, killed over memory ${state.ends ?? 0} times`));
   recorder.write(`answers without end: ${troubled.endless.length} of ${troubled.answered}`);
 
-  const ran = new Set(backends.filter(backend => backend !== troubled).flatMap(({runs}) => runs.map(({id}) => id)));
-  const lost = fleet.answers.filter(({id, error, isKept}) => isKept && error?.startsWith('closed') && ran.has(id));
-  for (const {id, vm, error} of lost) recorder.write(`lost: ${id} at ${vm.name}, run by a sound server, ${error}`);
+  const lost = listLost(fleet, backends.filter(backend => backend !== troubled));
   const violations = [];
   if (lost.length > 3) {
     violations.push(`LOST: ${lost.length} requests on kept connections that sound servers ran ended with a closed connection`);
--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -24,7 +24,7 @@
 };
 
 /** Ends a case that could not run. */
-class CannotRunError extends Error {}
+export class CannotRunError extends Error {}
 
 /** Record of what was sent, answered and run, in record.txt beside the script. */
 class Recorder {
@@ -156,9 +156,17 @@
     });
   }
 
+  /** Sends a heartbeat every heartbeat_ms; those sent while `lateMs` is set arrive that much later. */
   startHeartbeats() {
-    void this.sendHeartbeat();
-    this.timer = setInterval(() => void this.sendHeartbeat(), bounds.heartbeatMs);
+    const beat = () => {
+      const heartbeat = this.makeHeartbeat();
+      this.lastSentAt = this.vm.recorder.now();
+      if (!this.lateMs) return void this.sendHeartbeat(heartbeat);
+      this.vm.recorder.write(`${this.id} sends heartbeat ${heartbeat.sequence}, which will arrive ${this.lateMs} ms late`);
+      this.lateArrival = sleep(this.lateMs).then(() => this.sendHeartbeat(heartbeat, '(late)'));
+    };
+    beat();
+    this.timer = setInterval(beat, bounds.heartbeatMs);
   }
 
   stopHeartbeats() {
@@ -469,6 +477,45 @@
   }
 }
 
+const memoryCheckMs = 20;
+const restartDelayMs = 500;
+
+/** Kills a process over the memory limit, as the platform does, and starts it again after a short delay. */
+export function watchMemory(vm, state) {
+  const timer = setInterval(() => {
+    let rssMb = 0;
+    try {
+      rssMb = Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${vm.child.pid}/status`, 'utf8'))?.[1] ?? 0) / 1024;
+    } catch {
+      return;
+    }
+    state.peakMb = Math.max(state.peakMb ?? 0, rssMb);
+    if (rssMb <= bounds.memoryMb || state.isRestarting) return;
+    state.isRestarting = true;
+    state.ends = (state.ends ?? 0) + 1;
+    vm.recorder.write(`${vm.name} has ${Math.round(rssMb)} MB, over memory_mb ${bounds.memoryMb}: killed by the platform`);
+    void vm.end('SIGKILL').then(async () => {
+      await sleep(restartDelayMs);
+      if (state.isStopped) return;
+      vm.startProcess();
+      state.startedAt = vm.recorder.now();
+      state.isRestarting = false;
+    });
+  }, memoryCheckMs);
+  return () => {
+    state.isStopped = true;
+    clearInterval(timer);
+  };
+}
+
+/** Requests on kept connections that sound servers ran and whose connection was closed without an answer. */
+export function listLost(fleet, soundBackends) {
+  const ran = new Set(soundBackends.flatMap(({runs}) => runs.map(({id}) => id)));
+  const lost = fleet.answers.filter(({id, error, isKept}) => isKept && error?.startsWith('closed') && ran.has(id));
+  for (const {id, vm, error} of lost) fleet.recorder.write(`lost: ${id} at ${vm.name}, run by a sound server, ${error}`);
+  return lost;
+}
+
 function canListen(host, port) {
   return new Promise(resolve => {
     const server = net.createServer();
