--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -140,6 +140,51 @@
   }
 }
 
+/** Relay for connections to one address. Those that are open when `silence` is called carry nothing any more, without an end. */
+class Relay {
+  constructor(target) {
+    this.pairs = new Set();
+    this.server = net.createServer(near => {
+      const far = net.connect(target);
+      const pair = {near, far, isSilent: false};
+      this.pairs.add(pair);
+      for (const [from, to] of [
+        [near, far],
+        [far, near],
+      ]) {
+        from.setNoDelay(true);
+        from.on('data', bytes => pair.isSilent || to.write(bytes));
+        from.on('error', () => undefined);
+        // A silent connection does not pass on that one side has closed.
+        from.on('close', () => {
+          if (!pair.isSilent) to.destroy();
+          if (near.destroyed && far.destroyed) this.pairs.delete(pair);
+        });
+      }
+    });
+  }
+
+  async start(host, port) {
+    await new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    this.address = `${host}:${this.server.address().port}`;
+  }
+
+  silence() {
+    for (const pair of this.pairs) pair.isSilent = true;
+  }
+
+  stop() {
+    for (const {near, far} of this.pairs) {
+      near.destroy();
+      far.destroy();
+    }
+    this.server.close();
+  }
+}
+
 /** Backend server: runs requests, records them, and reports itself to the control address of its VM. */
 export class Backend {
   constructor(vm, id, options = {}) {
@@ -280,6 +325,7 @@
     const path = join(fleet.folder, `${name}.toml`);
     writeFileSync(path, this.renderSettings());
     const [program, ...args] = fleet.runCommand;
+    if (this.linkRelay) args.push('--link-address', this.linkRelay.address);
     const {PATH, HOME} = process.env;
     const child = spawn(program, args, {
       cwd: root,
@@ -352,7 +398,7 @@
 entry = "static"
 heartbeat_ms = ${bounds.heartbeatMs}
 [platform.platform]
-address = "${fleet.store.address}"
+address = "${fleet.storeAddress}"
 form = "log"
 writes_per_s = 400
 reads_per_s = 2000
@@ -400,9 +446,11 @@
     this.vms = [];
     this.requests = 0;
     this.answers = [];
+    this.relays = [];
   }
 
-  async start(services, config) {
+  /** Starts a VM for each of the services; `hasRelays` puts relays before the store and the link ports. */
+  async start(services, config, hasRelays = false) {
     const text = readFileSync(join(root, 'deploy', 'system.toml'), 'utf8');
     this.runCommand = /^run = "(.*)"$/m.exec(text)[1].split(' ');
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -411,10 +459,31 @@
     this.store.writeConfig(config);
     const zones = ['wien-nord', 'wien-sued', 'noe-tulln'];
     services.forEach((service, at) => this.vms.push(new Vm(this, at + 1, service, zones[at % zones.length])));
+    this.storeAddress = this.store.address;
+    if (hasRelays) await this.startRelays();
     for (const vm of this.vms) vm.startProcess();
     await Promise.all(this.vms.map(vm => vm.waitUntilReady()));
   }
 
+  async startRelays() {
+    const [host, port] = this.store.address.split(':');
+    const storeRelay = new Relay({host, port: Number(port)});
+    await storeRelay.start(host, 0);
+    this.storeAddress = storeRelay.address;
+    this.relays.push(storeRelay);
+    for (const vm of this.vms) {
+      vm.linkRelay = new Relay({host: vm.host, port: vm.linkPort, localAddress: vm.host});
+      await vm.linkRelay.start(vm.host, vm.linkPort + 1);
+      this.relays.push(vm.linkRelay);
+    }
+  }
+
+  /** Makes all open connections between the sidecars and to the store silent for good; new ones work. */
+  silenceOpenConnections() {
+    this.recorder.write(`${this.relays.reduce((sum, {pairs}) => sum + pairs.size, 0)} open connections go silent`);
+    for (const relay of this.relays) relay.silence();
+  }
+
   /** Chooses a loopback network and ports that are free on it. */
   async chooseAddresses() {
     for (let tries = 0; tries < 50; tries += 1) {
@@ -472,6 +541,7 @@
         await vm.end('SIGKILL');
       }),
     );
+    for (const relay of this.relays) relay.stop();
     this.store.stop();
     rmSync(this.folder, {recursive: true, force: true});
   }
