Give each response flow control from its caller to its backend server

Cause: response.write() of the caller's connection returned false and nothing heeded it. Every chunk went into the buffer of the response at the pace of the backend server. The guard paused only for the backlog of the link, which the entry always empties, and a guard in the same process reported no backlog at all.

Change: an entry gives the guard credit for each response, claims it from a budget before, and extends it by what the caller's connection has taken; the guard stops reading the backend server when the credit is used up. This holds also inside one process. A response whose credit is used up waits alone, as no link is paused. Parts that have arrived are dropped, those of ended exchanges first when memory is short. A response that its caller does not take ends 5 s after its deadline. Nodes of earlier versions say in their hello that they know no credit, and get what they got.

--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -13,6 +13,8 @@
   getPendingReplyTime(): Millis;
   /** Moving average of the time from a request or ping to the next message received. */
   getAverageReplyTime(): Millis;
+  /** Whether the other side obeys the credit of responses. */
+  hasFlowControl(): boolean;
   /** Bytes queued for sending that are not yet written to the network. */
   getBacklog(): number;
 }
@@ -29,6 +31,7 @@
   private lastReceivedAt: Millis;
   private unansweredSince: Millis | undefined;
   private averageReplyMs: Millis = 0;
+  private isFlowControlled = false;
 
   constructor(
     private readonly socket: WebSocket,
@@ -74,6 +77,15 @@
     return this.averageReplyMs;
   }
 
+  hasFlowControl(): boolean {
+    return this.isFlowControlled;
+  }
+
+  /** Records what the other side's hello says. */
+  setFlowControl(isFlowControlled: boolean): void {
+    this.isFlowControlled = isFlowControlled;
+  }
+
   getBacklog(): number {
     return this.socket.bufferedAmount;
   }
@@ -125,6 +137,10 @@
     return 0;
   }
 
+  hasFlowControl(): boolean {
+    return true;
+  }
+
   getBacklog(): number {
     return 0;
   }
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -229,6 +229,7 @@
       link.close();
       return undefined;
     }
+    link.setFlowControl(hello.hasFlowControl === true);
     known.link = link;
     known.linkedAt = this.clock.getTime();
     known.isDialled = isDialled;
@@ -295,6 +296,7 @@
       case 'withdraw':
       case 'send':
       case 'cancel':
+      case 'credit':
         return this.handlers.onEntryMessage(peer, message);
       case 'granted':
       case 'queued':
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -92,6 +92,12 @@
   | 'link-lost'
   | 'node-restarted';
 
+/**
+ * Bytes of a response body that a guard may send before its entry has extended the credit. Responses up to this size need
+ * no message of flow control.
+ */
+export const initialCreditBytes = 32 * 1024;
+
 /** Header fields as a flat list: name, value, name, value. */
 export type RawHeaders = readonly string[];
 
@@ -128,7 +134,17 @@
       readonly caller: ServiceId | undefined;
       readonly deadlineInMs: Millis;
     }
-  | {readonly kind: 'cancel'; readonly id: number};
+  | {readonly kind: 'cancel'; readonly id: number}
+  | {
+      /**
+       * Flow control of a response: all parts before `seq` have arrived, and the guard may send `bytes` of the body in
+       * all.
+       */
+      readonly kind: 'credit';
+      readonly id: number;
+      readonly seq: number;
+      readonly bytes: number;
+    };
 
 /**
  * Sent by a guard to an entry. `seq` numbers the parts of a response, so that the entry can drop parts that it receives
@@ -197,6 +213,8 @@
       readonly guard: GuardState;
       /** Whether the node accepts idle reports; absent from nodes of earlier versions. */
       readonly acceptsIdleReports?: boolean;
+      /** Whether the node extends and obeys the credit of responses; absent from nodes of earlier versions. */
+      readonly hasFlowControl?: boolean;
     }
   | {
       /**
@@ -233,6 +251,7 @@
   'withdraw',
   'send',
   'cancel',
+  'credit',
   'granted',
   'queued',
   'refused',
--- a/src/sidecar/caller_request.ts
+++ b/src/sidecar/caller_request.ts
@@ -15,3 +15,8 @@
   /** When the node responds with an error if no response has arrived. */
   readonly deadlineAt: Millis;
 }
+
+/** Describes a request in log lines. */
+export function describeRequest({requestId, route, service}: CallerRequest) {
+  return {requestId, route: route.id, service};
+}
--- a/src/sidecar/caller_response.ts
+++ b/src/sidecar/caller_response.ts
@@ -89,8 +89,12 @@
     if (!this.isClosed()) this.writeHead(status, headers, undefined);
   }
 
-  writeChunk(chunk: Uint8Array): void {
-    if (!this.isClosed()) this.response.write(chunk);
+  /** Writes a part of a streamed response; `onTaken` is called once the caller's connection has taken it. */
+  writeChunk(chunk: Uint8Array, onTaken: () => void): void {
+    if (this.isClosed()) return;
+    this.response.write(chunk, error => {
+      if (!error) onTaken();
+    });
   }
 
   endStream(): void {
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -1,10 +1,19 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {asId, Clock, Logger, Millis, Random, RequestId} from '../base/index.js';
+import {
+  asId,
+  ByteBudget,
+  Clock,
+  Logger,
+  Millis,
+  Random,
+  RequestId,
+} from '../base/index.js';
 import {WeightedRoundRobin} from '../dispatch/index.js';
 import {platformHeaders} from '../../platform/headers.js';
 import {CallerResponse, LocalErrorCode} from './caller_response.js';
 import {RequestTask, TaskContext} from './request_task.js';
 import {pickForBackend} from './raw_headers.js';
+import {readRequestBody} from './request_body.js';
 import {Routing, RoutingRoute, RoutingTable} from './routing.js';
 
 /** Margin before the caller's deadline for the response to reach it, which takes 1 to 8 ms one way. */
@@ -15,12 +24,14 @@
 const transientRetryAfterMs: Millis = 300;
 /** Must exceed every header limit that operators configure; a typical one is 16 KiB. */
 const maxHeaderBytes = 256 * 1024;
-/** Bytes of request bodies buffered by one node; further requests are refused as not run. */
-const maxBufferedBytes = 96 * 1024 * 1024;
+/** Time after the deadline of a request for its caller to take the rest of the response. */
+const takeTimeoutMs: Millis = 5000;
 
 /** What the entry needs from the rest of the node. */
 export interface EntryContext extends TaskContext {
   isShuttingDown(): boolean;
+  /** Request bodies held by the node; a request whose body does not fit is refused as not run. */
+  readonly requestBodies: ByteBudget;
   /** Whether callers have had time to switch to other nodes, so that new requests are refused. */
   isRefusingRequests(): boolean;
 }
@@ -30,7 +41,6 @@
   readonly server: Server;
   private routingTable: RoutingTable | undefined;
   private readonly serviceSelector: WeightedRoundRobin;
-  private bufferedBytes = 0;
   private openRequests = 0;
 
   constructor(
@@ -95,15 +105,19 @@
     if (!requestId)
       return this.refuse(callerResponse, requestId, 'bad-request');
     const deadlineAt = receivedAt + readTimeLimit(request, route);
-    const body = await this.readBody(
+    const body = await readRequestBody(
       request,
-      routingTable.routing.limits.maxBodyBytes,
-      deadlineAt - receivedAt,
+      {
+        maxBytes: routingTable.routing.limits.maxBodyBytes,
+        timeoutMs: deadlineAt - receivedAt,
+        budget: this.context.requestBodies,
+      },
+      this.clock,
     );
-    if (body === 'too-large' || body === 'busy') {
-      return this.refuse(callerResponse, requestId, body);
+    if (body.kind === 'too-large' || body.kind === 'busy') {
+      return this.refuse(callerResponse, requestId, body.kind);
     }
-    if (body === 'aborted') {
+    if (body.kind !== 'complete') {
       this.logger.info(
         {requestId, result: 'caller-left'},
         'request body incomplete',
@@ -118,7 +132,7 @@
         method: request.method ?? 'GET',
         target: request.url ?? '/',
         headers: pickForBackend(request.rawHeaders),
-        body: body.length > 0 ? body : null,
+        body: body.bytes.length > 0 ? body.bytes : null,
         receivedAt,
         deadlineAt,
       },
@@ -128,9 +142,13 @@
       this.random,
       this.logger,
     );
-    response.once('close', () => task.cancel());
-    this.bufferedBytes += body.length;
-    await task.run().finally(() => (this.bufferedBytes -= body.length));
+    response.once('close', () => {
+      task.cancel();
+      task.releaseMemory();
+    });
+    await task.run().finally(() => body.release());
+    if (response.closed) return task.releaseMemory();
+    this.scheduleAbort(response, deadlineAt);
   }
 
   private refuse(
@@ -147,35 +165,12 @@
     );
   }
 
-  private readBody(
-    request: IncomingMessage,
-    maxBytes: number,
-    timeoutMs: Millis,
-  ): Promise<Buffer | 'too-large' | 'busy' | 'aborted'> {
-    return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      const finish = (result: Buffer | 'too-large' | 'busy' | 'aborted') => {
-        timer.cancel();
-        resolve(result);
-      };
-      const timer = this.clock.startTimer(timeoutMs, () => {
-        request.destroy();
-        finish('aborted');
-      });
-      request.on('data', (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > maxBytes || this.bufferedBytes + bytes > maxBufferedBytes) {
-          finish(bytes > maxBytes ? 'too-large' : 'busy');
-          request.pause();
-        } else {
-          chunks.push(chunk);
-        }
-      });
-      request.once('end', () => finish(Buffer.concat(chunks)));
-      request.once('error', () => finish('aborted'));
-      request.once('close', () => finish('aborted'));
-    });
+  /** Ends a response that its caller does not take, so that its memory does not stay in use. */
+  private scheduleAbort(response: ServerResponse, deadlineAt: Millis): void {
+    if (response.closed) return;
+    const timeoutMs = deadlineAt + takeTimeoutMs - this.clock.getTime();
+    const timer = this.clock.startTimer(timeoutMs, () => response.destroy());
+    response.once('close', () => timer.cancel());
   }
 }
 
--- a/src/sidecar/exchange_runner.ts
+++ b/src/sidecar/exchange_runner.ts
@@ -1,4 +1,4 @@
-import {Clock, Logger, Millis} from '../base/index.js';
+import {ByteBudget, Clock, Logger, Millis} from '../base/index.js';
 import {
   EntryMessage,
   ExchangeFailure,
@@ -10,9 +10,10 @@
 import {Exchange, Session} from './guard_sessions.js';
 import {ServerNotice} from './server_notice.js';
 
-/** Unsent bytes on an entry's link above which reading from the backend server pauses. */
+/** Unsent bytes on the link of an entry without flow control above which reading from the backend server pauses. */
 const maxSendBacklogBytes = 1024 * 1024;
-const backlogCheckMs: Millis = 20;
+/** Interval at which a paused run checks again whether it may go on. */
+const pauseCheckMs: Millis = 20;
 
 type SendMessage = Extract<EntryMessage, {kind: 'send'}>;
 
@@ -23,6 +24,9 @@
   constructor(
     localAddress: string,
     private readonly getSlotCounts: () => SlotCounts,
+    private readonly retainedParts: ByteBudget,
+    /** Drops retained parts of ended exchanges; returns false if there are none. */
+    private readonly removeRetainedParts: () => boolean,
     private readonly onNotice: (
       backend: BackendReport,
       notice: ServerNotice,
@@ -62,12 +66,7 @@
           const seq = exchange.parts.claimSeq();
           this.sendPart(exchange, {kind: 'head', id, seq, status, headers});
         },
-        onChunk: bytes => {
-          const {id} = exchange;
-          const seq = exchange.parts.claimSeq();
-          this.sendPart(exchange, {kind: 'chunk', id, seq, bytes});
-          return this.waitUntilBacklogDrains(exchange);
-        },
+        onChunk: bytes => this.sendBody(exchange, bytes),
       },
     );
     this.logger.info(
@@ -132,13 +131,47 @@
     exchange.session.channel?.send(part);
   }
 
-  private async waitUntilBacklogDrains(exchange: Exchange): Promise<void> {
+  /** Sends bytes of the body as far as the entry's credit allows; the backend server is not read meanwhile. */
+  private async sendBody(exchange: Exchange, bytes: Buffer): Promise<void> {
     const {signal} = exchange.abort;
+    const {id, session, window, parts} = exchange;
+    let position = 0;
+    while (position < bytes.length) {
+      const isUnlimited = session.channel?.hasFlowControl() === false;
+      if (!isUnlimited) await window.waitUntilFree(signal);
+      await this.waitForMemory(exchange);
+      if (signal.aborted) return;
+      const size = isUnlimited ? bytes.length : window.getFree();
+      const piece = bytes.subarray(position, position + size);
+      position += piece.length;
+      window.recordSent(piece.length);
+      const seq = parts.claimSeq();
+      this.sendPart(exchange, {kind: 'chunk', id, seq, bytes: piece});
+      if (isUnlimited) await this.waitUntilBacklogDrains(exchange);
+    }
+  }
+
+  /** Waits while retained parts use up the memory, unless the exchange itself retains none. */
+  private async waitForMemory({abort, parts}: Exchange): Promise<void> {
+    while (
+      !abort.signal.aborted &&
+      parts.getBytes() > 0 &&
+      this.retainedParts.isExhausted() &&
+      !this.removeRetainedParts()
+    ) {
+      await this.clock.sleep(pauseCheckMs, abort.signal);
+    }
+  }
+
+  private async waitUntilBacklogDrains({
+    abort,
+    session,
+  }: Exchange): Promise<void> {
     while (
-      !signal.aborted &&
-      (exchange.session.channel?.getBacklog() ?? 0) > maxSendBacklogBytes
+      !abort.signal.aborted &&
+      (session.channel?.getBacklog() ?? 0) > maxSendBacklogBytes
     ) {
-      await this.clock.sleep(backlogCheckMs, signal);
+      await this.clock.sleep(pauseCheckMs, abort.signal);
     }
   }
 }
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -1,5 +1,6 @@
 import {
   BackendServerId,
+  ByteBudget,
   Clock,
   Logger,
   Millis,
@@ -26,6 +27,7 @@
 import {GuardMetrics} from './metrics.js';
 import {GuardContext, makeGuardState} from './guard_state.js';
 import {PartBuffer} from './part_buffer.js';
+import {SendWindow} from './send_window.js';
 import {NoticeEffect, NoticeTracker} from './server_notice.js';
 import {BackendMonitor} from './backend_monitor.js';
 import {SlotAdmission} from './slot_admission.js';
@@ -49,6 +51,7 @@
   constructor(
     private readonly context: GuardContext,
     settings: {readonly address: string; readonly backendAddress?: string},
+    private readonly retainedParts: ByteBudget,
     private readonly metrics: GuardMetrics,
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -59,6 +62,8 @@
     this.runner = new ExchangeRunner(
       settings.address,
       () => this.getSlotCounts(),
+      retainedParts,
+      () => this.sessions.removeRetainedParts(),
       (backend, notice) =>
         this.onNotice(
           this.notices.recordAnswer(backend, notice, clock.getTime()),
@@ -197,6 +202,10 @@
         this.endExchange(exchange);
         this.grantSlots();
         return;
+      case 'credit':
+        exchange?.parts.confirm(message.seq);
+        exchange?.window.setCredit(message.bytes);
+        return;
     }
   }
 
@@ -225,7 +234,8 @@
       phase: 'waiting',
       server: undefined,
       phaseStartedAt: now,
-      parts: new PartBuffer(),
+      parts: new PartBuffer(this.retainedParts),
+      window: new SendWindow(),
     };
     session.exchanges.set(message.id, exchange);
     this.queue.add(exchange, exchange.request, now);
--- a/src/sidecar/guard_calls.ts
+++ b/src/sidecar/guard_calls.ts
@@ -41,6 +41,8 @@
 interface OpenCall extends GuardCall {
   phase: 'requested' | 'sent';
   nextSeq: number;
+  /** Bytes of the response body that the guard may send; undefined until they are extended. */
+  credit: number | undefined;
   readonly onEvent: (call: GuardCall, event: CallEvent) => void;
 }
 
@@ -77,6 +79,7 @@
       node,
       phase: 'requested',
       nextSeq: 0,
+      credit: undefined,
       onEvent,
     };
     this.calls.set(call.id, call);
@@ -93,6 +96,14 @@
     this.getChannel(node)?.send({kind: 'send', id, ...message});
   }
 
+  /** Lets the guard send a total of bytes of the response body. */
+  grantCredit({id}: GuardCall, bytes: number): void {
+    const call = this.calls.get(id);
+    if (!call) return;
+    call.credit = bytes;
+    this.sendCredit(call);
+  }
+
   /** Abandons a call; a run in progress is cancelled. */
   close({id, node}: GuardCall): void {
     const call = this.calls.get(id);
@@ -165,16 +176,27 @@
       this.endCall(call, 'node-restarted', true);
   }
 
-  /** Fails sent requests that a reconnected guard does not list: they never reached it and were not run. */
+  /**
+   * Fails sent requests that a reconnected guard does not list: they never reached it and were not run. Repeats the credit
+   * of the others, as its message may have been lost with the link.
+   */
   onHeldExchanges(node: NodeId, ids: readonly number[]): void {
     const heldIds = new Set(ids);
     for (const call of this.listCalls(node)) {
       if (call.phase === 'sent' && !heldIds.has(call.id)) {
         this.endCall(call, 'link-lost', false);
+      } else {
+        this.sendCredit(call);
       }
     }
   }
 
+  private sendCredit({id, node, nextSeq, credit}: OpenCall): void {
+    const channel = this.getChannel(node);
+    if (credit === undefined || !channel?.hasFlowControl()) return;
+    channel.send({kind: 'credit', id, seq: nextSeq, bytes: credit});
+  }
+
   /** Fails a call whose guard no longer has the parts that were lost with a link, and cancels its run. */
   private endIncomplete(call: OpenCall): void {
     this.getChannel(call.node)?.send({kind: 'cancel', id: call.id});
--- a/src/sidecar/guard_sessions.ts
+++ b/src/sidecar/guard_sessions.ts
@@ -2,6 +2,7 @@
 import {SlotRequest} from '../dispatch/index.js';
 import {Channel, EntryMessage} from '../mesh/index.js';
 import {PartBuffer} from './part_buffer.js';
+import {SendWindow} from './send_window.js';
 
 /** Parts of a finished response are retained this long for an entry whose link was lost. */
 const partRetentionMs: Millis = 5000;
@@ -35,6 +36,8 @@
   phaseStartedAt: Millis;
   /** Parts of the response, retained for `partRetentionMs` after the end so that they can be resent. */
   readonly parts: PartBuffer;
+  /** How much of the response body the entry takes. */
+  readonly window: SendWindow;
 }
 
 /** Session name of one entry process; each process of a node has its own session. */
@@ -117,6 +120,21 @@
     return this.listExchanges().filter(({phase}) => phase !== 'ended').length;
   }
 
+  /** Drops parts of the exchange that ended first of those that retain some; returns false if there are none. */
+  removeRetainedParts(): boolean {
+    let oldest: Exchange | undefined;
+    for (const exchange of this.listExchanges()) {
+      if (exchange.phase !== 'ended' || exchange.parts.getBytes() === 0) {
+        continue;
+      }
+      if (!oldest || exchange.phaseStartedAt < oldest.phaseStartedAt) {
+        oldest = exchange;
+      }
+    }
+    oldest?.parts.removeAllButNewest();
+    return oldest !== undefined;
+  }
+
   /** Drops response parts, exchanges and sessions whose retention has ended. */
   removeExpired(now: Millis): void {
     for (const session of this.sessions.values()) {
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -33,14 +33,14 @@
 import {HeardNotices} from './heard_notices.js';
 import {buildMetricsPort} from './http_port.js';
 import {sendIdleReports} from './idle_report_sender.js';
+import {makeMemoryBudgets} from './memory_budgets.js';
 import {buildMetrics} from './metrics.js';
 import {NodeDirectory} from './node_directory.js';
+import {computeRetryLimits} from './retry_limits.js';
 import {RoutingFollower} from './routing_follower.js';
 import {SidecarSettings} from './settings.js';
 import {Shutdown} from './shutdown.js';
 
-/** Fraction of the retry limits that guards use; the rest covers calls made by retried runs, which guards cannot detect. */
-const retryBudgetFraction = 0.45;
 /** Longest wait for links to the known nodes before the node reports ready. */
 const linkTimeoutMs: Millis = 2500;
 const startupPollMs: Millis = 50;
@@ -97,6 +97,7 @@
       clock,
       logger,
     );
+    const budgets = makeMemoryBudgets(settings.memoryLimit);
     this.guard = new Guard(
       {
         getRetryLimits: service => this.getRetryLimits(service),
@@ -109,6 +110,7 @@
         onStateChange: state => this.onGuardStateChange(state),
       },
       settings,
+      budgets.retainedParts,
       this.metrics,
       clock,
       logger,
@@ -134,6 +136,8 @@
         calls: this.calls,
         runDurations: new RunDurationEstimator(),
         metrics: this.metrics,
+        responses: budgets.responses,
+        requestBodies: budgets.requestBodies,
         dataCentre,
         idleReports: this.idleReports,
         getCallerService: () => this.getCallerService(),
@@ -161,6 +165,7 @@
           routingVersion: this.follower.getVersion(),
           guard: this.guard.getState(),
           acceptsIdleReports: true,
+          hasFlowControl: true,
         }),
         onEntryMessage: (peer, message) =>
           this.guard.handle(makeSessionName(peer), message),
@@ -326,15 +331,8 @@
   }
 
   private getRetryLimits(service: ServiceId): RetryLimits {
-    const {ratio, windowMs, extra} = this.settings.repeats;
-    const guards = this.mesh
-      .listPeers()
-      .filter(({guard}) => guard.kind === 'open' && guard.service === service);
-    return {
-      ratio: ratio * retryBudgetFraction,
-      windowMs,
-      extra: (extra * retryBudgetFraction) / (guards.length + 1),
-    };
+    const peers = this.mesh.listPeers();
+    return computeRetryLimits(service, peers, this.settings.repeats);
   }
 
   /** Lists the guards that can grant slots for a service. */
--- a/src/sidecar/request_task.ts
+++ b/src/sidecar/request_task.ts
@@ -1,4 +1,5 @@
 import {
+  ByteBudget,
   Clock,
   EventQueue,
   Logger,
@@ -7,11 +8,12 @@
   ServiceId,
 } from '../base/index.js';
 import {computeRetryAfter} from '../dispatch/index.js';
-import {RawHeaders} from '../mesh/index.js';
+import {ArrivingResponse, BufferedResponse} from './arriving_response.js';
 import {CallerResponse, LocalErrorCode} from './caller_response.js';
-import {CallerRequest} from './caller_request.js';
+import {CallerRequest, describeRequest} from './caller_request.js';
 import {CallEvent, GuardCall} from './guard_calls.js';
 import {EntryMetrics} from './metrics.js';
+import {ResponseCredit} from './response_credit.js';
 import {
   estimateRunTime,
   SearchContext,
@@ -19,14 +21,14 @@
   minRemainingFraction,
 } from './slot_search.js';
 
-/** Responses up to this size are buffered and sent only when complete, so that a broken one can be retried. */
-const maxBufferedBytes = 256 * 1024;
 /** Minimum time between the starts of two searches for a slot for a hedged attempt. */
 const minHedgeIntervalMs: Millis = 300;
 
 /** What a request task needs from the rest of the node. */
 export interface TaskContext extends SearchContext {
   readonly metrics: EntryMetrics;
+  /** What the node holds of responses, including what guards may send. */
+  readonly responses: ByteBudget;
   /** Service of the backend server on this VM; named to other backend servers as the caller of requests from this VM. */
   getCallerService(): ServiceId | undefined;
 }
@@ -43,15 +45,7 @@
   readonly sentAt: Millis;
   /** Whether the guard suspects the server that runs the request. */
   isSuspected: boolean;
-  head: {readonly status: number; readonly headers: RawHeaders} | undefined;
-  readonly chunks: Uint8Array[];
-  bytes: number;
-}
-
-interface BufferedResponse {
-  readonly status: number;
-  readonly headers: RawHeaders;
-  readonly chunks: readonly Uint8Array[];
+  readonly arriving: ArrivingResponse;
 }
 
 /** Drives one request to its response: requests a slot from guards, sends, and retries or hedges where allowed. */
@@ -59,6 +53,8 @@
   private readonly events: EventQueue<TaskEvent>;
   private readonly search: SlotSearch;
   private readonly inFlight = new Map<GuardCall, Attempt>();
+  /** Responses of all attempts, which take memory until the caller has the one that it gets. */
+  private readonly responses: ArrivingResponse[] = [];
   private streamedCall: GuardCall | undefined;
   /** Error response of a failed attempt, sent if no attempt succeeds. */
   private fallback: BufferedResponse | undefined;
@@ -112,13 +108,13 @@
     for (const call of this.inFlight.keys()) this.context.calls.close(call);
   }
 
-  private getExpectedRunTime(): Millis {
-    return estimateRunTime(this.context.runDurations, this.request.route);
+  /** Frees the memory that the response takes; to be called when its connection has taken it or is closed. */
+  releaseMemory(): void {
+    for (const arriving of this.responses) arriving.releaseMemory();
   }
 
-  private getOverdueThreshold(): Millis {
-    const {id, targetMs} = this.request.route;
-    return this.context.runDurations.getOverdueThreshold(id, targetMs);
+  private getExpectedRunTime(): Millis {
+    return estimateRunTime(this.context.runDurations, this.request.route);
   }
 
   private getNextWakeup(now: Millis): Millis {
@@ -180,8 +176,7 @@
       case 'suspected':
         return this.recordSuspicion(call);
       case 'head': {
-        const attempt = this.inFlight.get(call);
-        if (attempt) attempt.head = event;
+        this.inFlight.get(call)?.arriving.setHead(event);
         return;
       }
       case 'chunk':
@@ -196,15 +191,22 @@
   private send(call: GuardCall): void {
     this.search.close();
     const now = this.clock.getTime();
+    const credit = ResponseCredit.claim(this.context.responses);
+    if (!credit) {
+      this.context.calls.close(call);
+      return this.endSearch('busy', now);
+    }
     const {request} = this;
+    const arriving = new ArrivingResponse(credit, this.response, bytes =>
+      this.context.calls.grantCredit(call, bytes),
+    );
+    this.responses.push(arriving);
     const slots = this.context.calls.getReportedSlots(call.node);
     this.attempts += 1;
     this.inFlight.set(call, {
       sentAt: now,
       isSuspected: slots?.verdict === 'suspended',
-      head: undefined,
-      chunks: [],
-      bytes: 0,
+      arriving,
     });
     this.context.calls.send(call, {
       method: request.method,
@@ -217,9 +219,7 @@
     this.context.metrics.sends.inc({repeat: this.attempts > 1 ? 'yes' : 'no'});
     this.logger.info(
       {
-        requestId: request.requestId,
-        route: request.route.id,
-        service: request.service,
+        ...describeRequest(request),
         guard: call.node,
         attempt: this.attempts,
         afterMs: Math.round(now - request.receivedAt),
@@ -230,17 +230,11 @@
   }
 
   private handleChunk(call: GuardCall, bytes: Uint8Array): void {
-    const attempt = this.inFlight.get(call);
-    if (!attempt?.head) return;
-    attempt.bytes += bytes.length;
-    if (this.streamedCall === call) return this.response.writeChunk(bytes);
-    attempt.chunks.push(bytes);
-    if (attempt.bytes <= maxBufferedBytes || this.streamedCall) return;
+    const arriving = this.inFlight.get(call)?.arriving;
+    if (!arriving?.addChunk(bytes)) return;
     this.streamedCall = call;
     this.closeOtherAttempts(call);
-    this.response.startStream(attempt.head.status, attempt.head.headers);
-    for (const chunk of attempt.chunks) this.response.writeChunk(chunk);
-    attempt.chunks.length = 0;
+    arriving.startStream();
   }
 
   private closeOtherAttempts(call: GuardCall): void {
@@ -248,6 +242,7 @@
     for (const other of [...this.inFlight.keys()]) {
       if (other === call) continue;
       this.context.calls.close(other);
+      this.inFlight.get(other)?.arriving.releaseMemory();
       this.inFlight.delete(other);
     }
   }
@@ -255,17 +250,17 @@
   private handleEnd(call: GuardCall, ranMs: Millis): void {
     const attempt = this.inFlight.get(call);
     this.inFlight.delete(call);
-    if (!attempt?.head) return;
+    const response = attempt?.arriving.getBuffered();
+    if (!response) return;
     const {route} = this.request;
     this.mayHaveRun = true;
-    if (attempt.head.status < 500) {
+    if (response.status < 500) {
       this.context.runDurations.record(route.id, route.targetMs, ranMs);
     }
     if (this.streamedCall === call) {
       this.response.endStream();
       return this.finish('answered');
     }
-    const response = {...attempt.head, chunks: attempt.chunks};
     if (response.status >= 500) {
       this.fallback = response;
       if (this.retryOrWait()) return;
@@ -277,7 +272,10 @@
     call: GuardCall,
     event: Extract<CallEvent, {kind: 'failed'}>,
   ): void {
-    if (!this.inFlight.delete(call)) return;
+    const attempt = this.inFlight.get(call);
+    if (!attempt) return;
+    this.inFlight.delete(call);
+    if (this.streamedCall !== call) attempt.arriving.releaseMemory();
     this.logger.warn(
       {
         requestId: this.request.requestId,
@@ -337,11 +335,12 @@
   }
 
   /** Time at which a second attempt may start beside one that has not responded. */
-  private findHedgeTime({head, sentAt, isSuspected}: Attempt): Millis {
-    if (head) return Infinity;
+  private findHedgeTime({arriving, sentAt, isSuspected}: Attempt): Millis {
+    if (arriving.getHead()) return Infinity;
+    const {id, targetMs} = this.request.route;
     const delayMs = isSuspected
       ? this.getExpectedRunTime()
-      : this.getOverdueThreshold();
+      : this.context.runDurations.getOverdueThreshold(id, targetMs);
     return Math.max(sentAt + delayMs, this.nextHedgeAt);
   }
 
@@ -380,9 +379,7 @@
     this.context.metrics.latency.observe({result}, tookMs / 1000);
     this.logger.info(
       {
-        requestId: request.requestId,
-        route: request.route.id,
-        service: request.service,
+        ...describeRequest(request),
         result,
         status,
         tookMs: Math.round(tookMs),
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -33,6 +33,8 @@
   readonly linkPort: number;
   /** host:port at which other nodes reach the link port; differs from the port itself behind a relay. */
   readonly linkAddress: string;
+  /** Memory in bytes above which the platform kills the process. */
+  readonly memoryLimit: number;
   readonly storeUrl: string;
   /** Time from the stop signal until the process is killed. */
   readonly graceMs: Millis;
--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -2,7 +2,11 @@
 import {platformHeaders} from '../../platform/index.js';
 
 /** How the server handles requests. */
-export type BackendMode = 'good' | 'hang' | 'error' | 'shed' | 'cut-body';
+export type BackendMode =
+  'good' | 'hang' | 'error' | 'shed' | 'cut-body' | 'endless';
+
+/** Block of an answer without end. */
+const endlessBlock = Buffer.alloc(64 * 1024, 'x');
 
 /** Stand-in for a backend server: runs requests, records the ids of those it ran, and sends heartbeats. */
 export class BackendStandIn {
@@ -26,6 +30,8 @@
   readonly runs: string[] = [];
   /** Ids of requests whose connection closed before the answer. */
   readonly abandoned: string[] = [];
+  /** Bytes of answers without end that have been written. */
+  endlessBytes = 0;
   callers: (string | undefined)[] = [];
   private readonly server: Server;
   private sequence = 0;
@@ -123,7 +129,22 @@
     };
   }
 
+  private sendWithoutEnd(id: string, response: ServerResponse): void {
+    response.writeHead(200, {
+      ...this.makeNotices(id),
+      [platformHeaders.signature]: `s.${this.id}`,
+    });
+    const writeMore = () => {
+      if (response.destroyed) return;
+      this.endlessBytes += endlessBlock.length;
+      if (response.write(endlessBlock)) setImmediate(writeMore);
+      else response.once('drain', writeMore);
+    };
+    writeMore();
+  }
+
   private finish(id: string, response: ServerResponse): void {
+    if (this.mode === 'endless') return this.sendWithoutEnd(id, response);
     const body = this.makeBody(id);
     response.writeHead(this.mode === 'error' ? 500 : 200, {
       ...this.makeNotices(id),
--- a/test/platform/test_fleet.ts
+++ b/test/platform/test_fleet.ts
@@ -145,6 +145,7 @@
       announcements: makeAddress(3),
       linkPort: this.basePort + 4,
       linkAddress: `${host}:${this.basePort + 4}`,
+      memoryLimit: 350 * 1024 * 1024,
       storeUrl: this.storeUrl,
       graceMs: 4000,
       repeats: {ratio: 0.2, windowMs: 10_000, extra: 50},
--- a/test/sidecar/guard_calls.test.ts
+++ b/test/sidecar/guard_calls.test.ts
@@ -30,6 +30,7 @@
     isOpen: () => true,
     getPendingReplyTime: () => 0,
     getAverageReplyTime: () => 0,
+    hasFlowControl: () => true,
     getBacklog: () => 0,
   };
   const link = {isUp: true};
--- a/test/sidecar/request_task.test.ts
+++ b/test/sidecar/request_task.test.ts
@@ -4,6 +4,7 @@
 import {
   asId,
   BackendServerId,
+  ByteBudget,
   DataCentreId,
   NodeId,
   openSilentLogger,
@@ -70,6 +71,7 @@
     isOpen: () => true,
     getPendingReplyTime: () => 0,
     getAverageReplyTime: () => 0,
+    hasFlowControl: () => true,
     getBacklog: () => 0,
   });
   const calls = new GuardCalls(makeChannel, () => undefined, systemClock);
@@ -103,6 +105,7 @@
       calls,
       idleReports: new IdleReports(),
       runDurations: new RunDurationEstimator(),
+      responses: new ByteBudget(1024 * 1024),
       metrics: buildMetrics(new Registry()),
       dataCentre,
       getCallerService: () => undefined,
