Remember each departure that is acknowledged, also of a server not heard before

A deregistration of a process that was not the latest one heard, which after a restart is every process, was acknowledged and remembered nowhere; the heartbeat from before it, arriving late, was then the first one heard and brought the server back.

Change: a node keeps the departures of its VM as a list of processes (id and start time; a notice without a start time covers what has started so far), adds each one at once, also of processes that are not current, and acknowledges it once the store has the list.

--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './byte_budget.js';
 export * from './clock.js';
 export * from './decode.js';
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -24,8 +24,10 @@
 
 /** What a node has heard about the backend server of another one. */
 export interface HeardNotice {
-  /** Process that has announced its shutdown. */
+  /** Newest process that was in use and has announced its shutdown. */
   readonly departure?: BackendProcess;
+  /** All that have announced it, as far as they are retained. */
+  readonly departures?: readonly BackendProcess[];
   readonly limit?: NamedLimit;
 }
 
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -1,5 +1,15 @@
 import {BackendServerId, Millis, ServiceId} from '../base/index.js';
 import {BackendProcess} from '../mesh/index.js';
+import {
+  addDeparture,
+  Departure,
+  DepartureState,
+  Deregistration,
+  hasDeparted,
+  isSameProcess,
+  noDepartures,
+  replaceUpperBound,
+} from './departures.js';
 
 /** State that a backend server reports about itself. */
 export interface BackendReport {
@@ -17,30 +27,48 @@
   readonly sequence: number;
 }
 
-/** A backend process that has announced its shutdown, as persisted in the store. */
-export type Departure = BackendProcess;
+/** What the settings say about the backend server of this VM. */
+export interface BackendSettings {
+  /** Listen address; reports with any other address are foreign. */
+  readonly address?: string | undefined;
+}
 
-/** Outcome of applying a report: `stale` and `foreign` reports are rejected. */
+/**
+ * Outcome of applying a report: `stale` and `foreign` reports are rejected. `departed`: a process that is not the current
+ * one leaves, which is recorded.
+ */
 export type ReportResult =
-  'new' | 'refreshed' | 'leaving' | 'stale' | 'foreign';
+  'new' | 'refreshed' | 'leaving' | 'departed' | 'stale' | 'foreign';
 
 /** Time without reports from the current process after which a process with an earlier start time may replace it. */
 const takeoverSilenceMs: Millis = 6000;
 /** Reports in increasing sequence that such a process must have sent; a single one may be a delayed report. */
 const minTakeoverReports = 3;
+/** Time over which they must arrive; reports that were held up together arrive together. */
+const minTakeoverSpanMs: Millis = 2000;
+/** Time within which clocks agree; a process that claims to have started later than that is not plausible. */
+const maxClockErrorMs: Millis = 600_000;
+
+/** Process whose reports are stale, and which may turn out to be the successor of the current one. */
+interface Candidate {
+  readonly report: BackendReport;
+  readonly count: number;
+  readonly firstAt: Millis;
+}
 
-/** Tracks the current process of this VM's backend server from its reports. */
+/** Tracks the current process of this VM's backend server. */
 export class BackendTracker {
   private latest: BackendReport | undefined;
-  private departure: Departure | undefined;
+  private departures: DepartureState = noDepartures;
   private hasLeft = false;
-  private lastAcceptedAt: Millis = 0;
-  /** Last stale report of a process other than the current one, and the number of its reports received in sequence. */
-  private candidate:
-    {readonly report: BackendReport; readonly count: number} | undefined;
+  /** Undefined until the first report. */
+  private lastAcceptedAt: Millis | undefined;
+  private candidate: Candidate | undefined;
+  private readonly address: string | undefined;
 
-  /** `address` is the listen address of this VM's backend server; reports with any other address are foreign. */
-  constructor(private readonly address: string | undefined) {}
+  constructor({address}: BackendSettings) {
+    this.address = address;
+  }
 
   /** Latest report of the current process, if it accepts requests. */
   getReady(): BackendReport | undefined {
@@ -54,12 +82,17 @@
   }
 
   getDeparture(): Departure | undefined {
-    return this.departure;
+    return this.departures.last;
+  }
+
+  /** What is known of departures; the same object until that changes. */
+  getDepartures(): DepartureState {
+    return this.departures;
   }
 
   /**
-   * Records the departure of a process that this node, one before it or another node has heard of; returns whether it
-   * ends the use of the current process.
+   * Records the departure of a process that was the current one, of which this node, one before it or another node has
+   * heard; returns whether it ends the use of the current process.
    */
   recordDeparture(departure: Departure): boolean {
     if (this.isCurrent(departure)) {
@@ -67,26 +100,35 @@
       this.markDeparted(departure);
       return isNews;
     }
-    const known = this.departure;
-    if (!known || known.startedAtMs < departure.startedAtMs) {
-      this.departure = departure;
-    }
-    return false;
+    const {last} = this.departures;
+    const isNewer = !last || last.startedAtMs < departure.startedAtMs;
+    this.addDeparture(departure, isNewer ? departure : last);
+    return this.endIfDeparted();
+  }
+
+  /** Records departures of processes that may never have been the current one. */
+  recordDepartures(departures: readonly Departure[]): boolean {
+    for (const departure of departures) this.addDeparture(departure);
+    return this.endIfDeparted();
   }
 
   /** Whether a process is the one that reported last. */
-  isCurrent({server, startedAtMs}: Departure): boolean {
-    return (
-      this.latest?.server === server && this.latest.startedAtMs === startedAtMs
-    );
+  isCurrent(process: BackendProcess): boolean {
+    return this.latest !== undefined && isSameProcess(this.latest, process);
   }
 
   /** Applies a report unless it is foreign or out of date. */
   applyReport(report: BackendReport, now: Millis): ReportResult {
+    this.lastAcceptedAt ??= now;
     if (this.address !== undefined && report.address !== this.address) {
       return 'foreign';
     }
-    if (this.isStale(report) && !this.isSuccessor(report, now)) return 'stale';
+    if (report.startedAtMs > now + maxClockErrorMs) return 'foreign';
+    const isRejected = this.isStale(report);
+    if (isRejected && !this.isSuccessor(report, now)) {
+      return this.recordStale(report);
+    }
+    if (isRejected) this.recordTakeover();
     this.lastAcceptedAt = now;
     this.candidate = undefined;
     const isSame = this.isCurrent(report);
@@ -101,40 +143,102 @@
     return result;
   }
 
-  /** Records that a process deregistered; returns whether it was the current one. */
-  recordDeregistration(server: BackendServerId): boolean {
-    if (this.latest?.server !== server || this.hasLeft) return false;
-    this.markDeparted(this.latest);
+  /**
+   * Records that a process deregistered, also one that has not reported yet; returns whether it was the current one and
+   * in use. A notice without a start time means the current process of its server, or all that have started so far.
+   */
+  recordDeregistration(
+    {server, startedAtMs}: Deregistration,
+    now: Millis,
+  ): boolean {
+    const {latest} = this;
+    const ownStart = latest?.server === server ? latest.startedAtMs : undefined;
+    const knownStart = startedAtMs ?? ownStart;
+    this.addDeparture(
+      knownStart === undefined
+        ? {server, startedAtMs: now, isUpperBound: true}
+        : {server, startedAtMs: knownStart},
+    );
+    return this.endIfDeparted();
+  }
+
+  private endIfDeparted(): boolean {
+    const {latest} = this;
+    if (!latest || this.hasLeft) return false;
+    if (!hasDeparted(this.departures.all, latest)) return false;
+    this.markDeparted(latest);
     return true;
   }
 
   private markDeparted({server, startedAtMs}: Departure): void {
     this.hasLeft = true;
-    this.departure = {server, startedAtMs};
+    this.addDeparture({server, startedAtMs}, {server, startedAtMs});
+  }
+
+  private addDeparture(
+    departure: Departure,
+    last = this.departures.last,
+  ): void {
+    this.setDepartures(addDeparture(this.departures.all, departure), last);
+  }
+
+  private setDepartures(
+    all: readonly Departure[],
+    last: Departure | undefined,
+  ): void {
+    const known = this.departures;
+    const isSameLast =
+      known.last === last ||
+      (known.last && last && isSameProcess(known.last, last));
+    if (all === known.all && isSameLast) return;
+    this.departures = {last, all};
+  }
+
+  private recordStale(report: BackendReport): ReportResult {
+    const {all, last} = this.departures;
+    if (report.phase === 'ready') {
+      this.setDepartures(replaceUpperBound(all, report), last);
+      return 'stale';
+    }
+    // A notice of the shutdown stays true however late it arrives.
+    this.addDeparture(report);
+    return this.endIfDeparted() ? 'leaving' : 'departed';
+  }
+
+  /** Start times do not show that the processes before a successor have ended, so that they are listed one by one. */
+  private recordTakeover(): void {
+    const {all} = this.departures;
+    const {latest} = this;
+    this.setDepartures(latest ? addDeparture(all, latest) : all, undefined);
   }
 
   /**
-   * Whether a process with an earlier start time has nevertheless replaced the current one: the clock may have been set
-   * back between the two starts.
+   * Whether a process that its start time does not show to be newer has nevertheless replaced the current one: the clock
+   * may have been set back between the two starts.
    */
   private isSuccessor(report: BackendReport, now: Millis): boolean {
     if (this.latest && this.isCurrent(report)) return false;
+    const {all} = this.departures;
+    if (all.some(departure => isSameProcess(departure, report))) return false;
     const previous = this.candidate;
     const continuesPrevious =
-      previous?.report.server === report.server &&
-      previous.report.startedAtMs === report.startedAtMs &&
+      previous !== undefined &&
+      isSameProcess(previous.report, report) &&
       previous.report.sequence < report.sequence;
     const count = continuesPrevious ? previous.count + 1 : 1;
-    this.candidate = {report, count};
+    const firstAt = continuesPrevious ? previous.firstAt : now;
+    this.candidate = {report, count, firstAt};
     return (
       report.phase === 'ready' &&
       count >= minTakeoverReports &&
-      now - this.lastAcceptedAt > takeoverSilenceMs
+      now - firstAt >= minTakeoverSpanMs &&
+      now - (this.lastAcceptedAt ?? now) > takeoverSilenceMs
     );
   }
 
   private isStale(report: BackendReport): boolean {
-    const {departure} = this;
+    const {all, last: departure} = this.departures;
+    if (report.phase === 'ready' && hasDeparted(all, report)) return true;
     if (
       departure &&
       report.phase === 'ready' &&
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -1,22 +1,15 @@
-import {
-  BackendServerId,
-  ByteBudget,
-  Clock,
-  Logger,
-  Millis,
-  runEvery,
-} from '../base/index.js';
+import {ByteBudget, Clock, Logger, Millis, runEvery} from '../base/index.js';
 import {SlotQueue} from '../dispatch/index.js';
 import {
   Channel,
   EntryMessage,
   GuardState,
-  HeardNotice,
   SlotCounts,
   SlotRefusal,
 } from '../mesh/index.js';
 import {BackendOutcome} from './backend_client.js';
-import {BackendTracker, BackendReport} from './backend_tracker.js';
+import {BackendPresence} from './backend_presence.js';
+import {BackendReport, ReportResult} from './backend_tracker.js';
 import {ExchangeRunner} from './exchange_runner.js';
 import {
   Exchange,
@@ -25,10 +18,9 @@
   Session,
 } from './guard_sessions.js';
 import {GuardMetrics} from './metrics.js';
-import {GuardContext, makeGuardState} from './guard_state.js';
+import {GuardContext, GuardSettings, makeGuardState} from './guard_state.js';
 import {PartBuffer} from './part_buffer.js';
 import {SendWindow} from './send_window.js';
-import {NoticeEffect, NoticeTracker} from './server_notice.js';
 import {BackendMonitor} from './backend_monitor.js';
 import {SlotAdmission} from './slot_admission.js';
 import {StateUpdateThrottle} from './state_update_throttle.js';
@@ -39,35 +31,46 @@
 
 /** Sole proxy to the backend server of this VM: grants its slots, runs requests and monitors its health passively. */
 export class Guard {
-  readonly tracker: BackendTracker;
+  readonly presence: BackendPresence;
   private readonly queue = new SlotQueue<Exchange>(1);
   private readonly monitor = new BackendMonitor();
   private readonly admission = new SlotAdmission(this.monitor);
-  private readonly notices: NoticeTracker;
   private readonly sessions = new GuardSessions();
   private readonly runner: ExchangeRunner;
   private readonly publishThrottle = new StateUpdateThrottle();
 
   constructor(
     private readonly context: GuardContext,
-    settings: {readonly address: string; readonly backendAddress?: string},
+    settings: GuardSettings,
     private readonly retainedParts: ByteBudget,
     private readonly metrics: GuardMetrics,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
-    this.tracker = new BackendTracker(settings.backendAddress);
-    const {rateLimit} = this.queue;
-    this.notices = new NoticeTracker(this.tracker, rateLimit, metrics, logger);
+    this.presence = new BackendPresence(
+      {address: settings.backendAddress},
+      this.queue.rateLimit,
+      {
+        isKnownService: service => context.isKnownService(service),
+        saveDepartures: departures => context.saveDepartures(departures),
+        onReport: (report, result, isNewServer) =>
+          this.onReport(report, result, isNewServer),
+        onDeparture: () => this.stopGranting(),
+        onLimitChange: () => {
+          this.publishState();
+          this.grantSlots();
+        },
+      },
+      metrics,
+      clock,
+      logger,
+    );
     this.runner = new ExchangeRunner(
       settings.address,
       () => this.getSlotCounts(),
       retainedParts,
       () => this.sessions.removeRetainedParts(),
-      (backend, notice) =>
-        this.onNotice(
-          this.notices.recordAnswer(backend, notice, clock.getTime()),
-        ),
+      (backend, notice) => this.presence.recordAnswer(backend, notice),
       clock,
       logger,
     );
@@ -80,10 +83,9 @@
 
   getState(): GuardState {
     return makeGuardState(
-      this.tracker,
+      this.presence,
       this.context.isShuttingDown(),
       this.monitor.getVerdict(this.clock.getTime()),
-      this.notices.getLimit(),
     );
   }
 
@@ -91,35 +93,18 @@
     return this.sessions.countOpen();
   }
 
-  /** Applies a report of the backend server; returns false if it is out of date or foreign. */
-  applyReport(report: BackendReport): boolean {
+  private onReport(
+    report: BackendReport,
+    result: ReportResult,
+    isNewServer: boolean,
+  ): void {
     const now = this.clock.getTime();
-    const previous = this.tracker.getLatest();
-    const verdict = this.context.isKnownService(report.service)
-      ? this.tracker.applyReport(report, now)
-      : 'foreign';
-    if (verdict !== 'refreshed') {
-      this.logger.info({report, verdict}, 'backend server report');
-    }
-    switch (verdict) {
-      case 'stale':
-      case 'foreign':
-        return false;
-      case 'new':
-        if (previous?.server !== report.server) this.monitor.reset(now);
-        this.notices.recordNewProcess(now);
-        break;
-      case 'leaving':
-        this.refuseQueued('leaving');
-        break;
-      case 'refreshed':
-        break;
-    }
+    if (result === 'new' && isNewServer) this.monitor.reset(now);
+    if (result === 'leaving') this.refuseQueued('leaving');
     this.queue.setSlots(report.slots);
     this.monitor.setWarmup(now + report.warmupMs);
     this.publishState();
     this.grantSlots();
-    return true;
   }
 
   /** Refuses all waiting requests; running ones continue. */
@@ -128,30 +113,6 @@
     this.publishState();
   }
 
-  /** Stops sending to a backend server that deregistered. */
-  recordDeregistration(server: BackendServerId): void {
-    const isPresent = this.tracker.recordDeregistration(server);
-    this.logger.info({server, isPresent}, 'backend server said goodbye');
-    if (isPresent) this.stopGranting();
-  }
-
-  /** Applies what another node, or a process of this one before it, has heard of this VM's backend server. */
-  recordHeard(notice: HeardNotice, source: 'peer' | 'store'): void {
-    const now = this.clock.getTime();
-    this.onNotice(this.notices.recordHeard(notice, source, now));
-  }
-
-  private onNotice(effect: NoticeEffect): void {
-    switch (effect) {
-      case 'none':
-        return;
-      case 'limit-changed':
-        return this.publishState();
-      case 'departed':
-        return this.stopGranting();
-    }
-  }
-
   /**
    * Binds an entry process to a new link. Returns the ids of the exchanges that this guard received; the entry treats
    * all others as not run, which is safe because the old link is no longer read.
@@ -261,7 +222,7 @@
     message: RequestMessage,
     now: Millis,
   ): SlotRefusal | undefined {
-    const backend = this.tracker.getReady();
+    const backend = this.presence.getReady();
     if (this.context.isShuttingDown()) return 'leaving';
     if (!backend || backend.service !== message.service) return 'no-server';
     const limits = this.context.getRetryLimits(backend.service);
@@ -269,7 +230,7 @@
   }
 
   private grantSlots(): void {
-    const backend = this.tracker.getReady();
+    const backend = this.presence.getReady();
     if (!backend || this.context.isShuttingDown()) return;
     for (;;) {
       const now = this.clock.getTime();
@@ -300,7 +261,7 @@
     message: SendMessage,
   ): Promise<void> {
     const now = this.clock.getTime();
-    const backend = this.tracker.getReady();
+    const backend = this.presence.getReady();
     // The server may have been replaced or have shut down since the grant.
     if (!backend || backend.server !== exchange.server) {
       this.runner.sendFailure(exchange, 'revoked', false, 'the server left');
@@ -343,14 +304,14 @@
     }
     for (const {abort} of this.sessions.listAbandonedRuns(now)) abort.abort();
     this.sessions.removeExpired(now);
-    this.notices.reportLimit(now);
+    this.presence.reportLimit(now);
     this.grantSlots();
     this.publishState();
     this.reportIdle(now);
   }
 
   private reportIdle(now: Millis): void {
-    const backend = this.tracker.getReady();
+    const backend = this.presence.getReady();
     const isOpen = backend && !this.context.isShuttingDown();
     if (!isOpen || this.queue.getCounts(now).free === 0) return;
     const wanted = this.admission.claimIdleReport(now);
@@ -384,7 +345,7 @@
   private getSlotCounts(): SlotCounts {
     const now = this.clock.getTime();
     const verdict = this.monitor.getVerdict(now);
-    const limit = this.notices.describeLimit(now);
+    const limit = this.presence.describeLimit(now);
     return {...this.queue.getCounts(now), verdict, ...(limit && {limit})};
   }
 
--- a/src/sidecar/main.ts
+++ b/src/sidecar/main.ts
@@ -71,10 +71,10 @@
       portBuilders: {
         buildAnnouncementPort: guard =>
           buildAnnouncementPort({
-            onReport: report => guard.applyReport(report),
+            onReport: report => guard.presence.applyReport(report),
             onMalformed: reason =>
               logger.warn({reason}, 'backend server report ignored: malformed'),
-            onDeregister: server => guard.recordDeregistration(server),
+            onDeregister: notice => guard.presence.recordDeregistration(notice),
           }),
         buildReadinessPort,
       },
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -106,6 +106,7 @@
         // Until there is a configuration, only the service in the settings is known.
         isKnownService: service =>
           this.follower.hasService(service) ?? service === settings.service,
+        saveDepartures: departures => this.directory.saveDepartures(departures),
         reportIdle: (service, wanted) => this.reportIdle(service, wanted),
         onStateChange: state => this.onGuardStateChange(state),
       },
@@ -183,7 +184,7 @@
         },
         onIdleReport: (peer, {service, wanted}) =>
           this.idleReports.record(service, peer.node, wanted, clock.getTime()),
-        onHeard: (_peer, notice) => this.guard.recordHeard(notice, 'peer'),
+        onHeard: (_peer, notice) => this.guard.presence.recordHeard(notice),
         onActiveExchanges: (peer, ids) =>
           this.calls.onHeldExchanges(peer.node, ids),
         onRoutingVersion: (peer, version) =>
@@ -296,10 +297,10 @@
       {node, address: linkAddress},
       signal,
     );
-    for (const {node: other, address, departure} of entries) {
+    for (const {node: other, address} of entries) {
       if (other !== node) this.mesh.addNode(other, address);
-      else if (departure) this.guard.recordHeard({departure}, 'store');
     }
+    this.guard.presence.recordStored(this.directory.getDepartures());
   }
 
   private async waitUntil(
@@ -322,7 +323,9 @@
   }
 
   private getCallerService(): ServiceId | undefined {
-    return this.guard.tracker.getLatest()?.service ?? this.settings.service;
+    return (
+      this.guard.presence.tracker.getLatest()?.service ?? this.settings.service
+    );
   }
 
   private getChannel(node: NodeId): Channel | undefined {
@@ -366,8 +369,6 @@
   private onGuardStateChange(guard: GuardState): void {
     this.reportSuspicion(this.settings.node, guard);
     this.mesh.publish({kind: 'guard', guard});
-    const departure = this.guard.tracker.getDeparture();
-    if (departure) void this.directory.recordDeparture(departure);
   }
 
   private onPeerUp(peer: Peer, isRestarted: boolean): void {
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -11,25 +11,34 @@
   NodeId,
   parseJson,
 } from '../base/index.js';
-import {Departure} from './backend_tracker.js';
+import {Departure, DepartureState, noDepartures} from './departures.js';
 import {KeyedRecord, KeyedStore, StoreEpoch} from './keyed_store.js';
 import {StoreMetrics} from './metrics.js';
 
 const minRetryDelayMs: Millis = 200;
 const maxRetryDelayMs: Millis = 1500;
+/** Interval at which a departure to be stored waits for the first listing. */
+const joinPollMs: Millis = 20;
 
 /** Record that a node keeps in the store for other nodes and for its own next process. */
 export interface DirectoryEntry {
   readonly node: NodeId;
   /** host:port at which the node accepts links. */
   readonly address: string;
-  /** Backend process whose shutdown this node has acknowledged. */
-  readonly departure?: Departure;
+  /** Backend processes of this node's VM that have announced their shutdown. */
+  readonly departures?: DepartureState;
 }
 
+const departureCodec = t.intersection([
+  t.type({server: t.string, startedAtMs: t.number}),
+  t.partial({isUpperBound: t.boolean}),
+]);
 const entryCodec = t.intersection([
   t.type({address: t.string}),
-  t.partial({departure: t.type({server: t.string, startedAtMs: t.number})}),
+  t.partial({
+    departure: departureCodec,
+    departures: t.array(departureCodec),
+  }),
 ]);
 
 /**
@@ -39,7 +48,9 @@
 export class NodeDirectory {
   private own: DirectoryEntry | undefined;
   private hasJoined = false;
-  private pendingWrite: Promise<void> = Promise.resolve();
+  /** Departures to be stored. */
+  private departures: DepartureState = noDepartures;
+  private pendingWrite = Promise.resolve(true);
   /** Epoch of the store in which it acknowledged or listed this node's record. */
   private ownEpoch: StoreEpoch | undefined;
   private signal: AbortSignal | undefined;
@@ -93,9 +104,9 @@
     this.own = {...stored, ...own, ...this.own};
     const isKnown =
       stored?.address === own.address &&
-      isSameDeparture(stored.departure, this.own.departure);
+      isSameState(stored.departures, this.own.departures);
     if (isKnown) this.ownEpoch = before.epoch;
-    else await this.write();
+    else await this.write(this.own);
     const {entries, epoch} = isKnown ? before : await this.read(signal);
     if (epoch !== this.ownEpoch) return undefined;
     this.hasJoined = true;
@@ -106,31 +117,44 @@
     return entries;
   }
 
-  /** Stores the departure of a backend process, so that the next process of this node rejects its late reports. */
-  recordDeparture(departure: Departure): Promise<void> {
-    const known = this.own?.departure;
-    if (!this.own || isSameDeparture(known, departure)) {
-      return this.pendingWrite;
-    }
-    this.own = {...this.own, departure};
-    this.pendingWrite = this.pendingWrite.then(() => this.writeUntilStored());
+  /** Departures of this node's VM that the store has, as far as they were listed or written. */
+  getDepartures(): DepartureState {
+    return this.own?.departures ?? noDepartures;
+  }
+
+  /**
+   * Saves the departures of this VM, so that the next process of this node rejects late reports; resolves with true once
+   * the store has them, with false if the node ends before. Waits for the first listing, as what earlier processes saved
+   * must not be replaced unread.
+   */
+  saveDepartures(departures: DepartureState): Promise<boolean> {
+    this.departures = departures;
+    this.pendingWrite = this.pendingWrite.then(() => this.writeDepartures());
     return this.pendingWrite;
   }
 
-  private async writeUntilStored(): Promise<void> {
+  private async writeDepartures(): Promise<boolean> {
     let retryDelayMs = minRetryDelayMs;
     while (!this.signal?.aborted) {
+      const {own, departures} = this;
+      if (!own || !this.hasJoined) {
+        await this.clock.sleep(joinPollMs, this.signal);
+        continue;
+      }
+      if (isSameState(own.departures, departures)) return true;
       try {
-        return await this.write();
+        await this.write({...own, departures});
+        return true;
       } catch (error) {
         this.logger.warn(
-          {departure: this.own?.departure, error: describeError(error)},
-          'departure not stored yet, retrying; peers know it as well',
+          {departures, error: describeError(error)},
+          'departures not stored yet, retrying',
         );
         await this.clock.sleep(retryDelayMs, this.signal);
         retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
       }
     }
+    return false;
   }
 
   private async read(signal: AbortSignal): Promise<{
@@ -145,15 +169,21 @@
     return {entries, epoch};
   }
 
-  private async write(): Promise<void> {
-    if (!this.own) return;
+  /** Writes this node's record; what it holds counts as stored once the store has confirmed it. */
+  private async write(own: DirectoryEntry): Promise<void> {
     this.metrics.calls.inc({call: 'put-node', result: 'started'});
-    const {node, address, departure} = this.own;
+    const {node, address, departures} = own;
+    const record = {
+      address,
+      departure: departures?.last,
+      departures: departures?.all,
+    };
     this.ownEpoch = await this.store.put(
       this.topic,
       node,
-      Buffer.from(JSON.stringify({address, departure})),
+      Buffer.from(JSON.stringify(record)),
     );
+    this.own = own;
   }
 
   private decode({key, value}: KeyedRecord): DirectoryEntry | undefined {
@@ -166,21 +196,32 @@
       );
       return undefined;
     }
-    const {address, departure} = entry.right;
+    const {address, departure, departures} = entry.right;
+    const last = departure && toDeparture(departure);
+    const all = departures?.map(toDeparture) ?? (last ? [last] : []);
     return {
       node: asId<NodeId>(key),
       address,
-      departure: departure && {
-        server: asId<BackendServerId>(departure.server),
-        startedAtMs: departure.startedAtMs,
-      },
+      ...(all.length > 0 && {departures: {last, all}}),
     };
   }
 }
 
-function isSameDeparture(
-  a: Departure | undefined,
-  b: Departure | undefined,
+function toDeparture({
+  server,
+  startedAtMs,
+  isUpperBound,
+}: t.TypeOf<typeof departureCodec>): Departure {
+  return {
+    server: asId<BackendServerId>(server),
+    startedAtMs,
+    ...(isUpperBound && {isUpperBound}),
+  };
+}
+
+function isSameState(
+  a: DepartureState = noDepartures,
+  b: DepartureState = noDepartures,
 ): boolean {
-  return a?.server === b?.server && a?.startedAtMs === b?.startedAtMs;
+  return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/src/sidecar/server_notice.ts
+++ b/src/sidecar/server_notice.ts
@@ -66,7 +66,11 @@
     {limit, isLeaving}: ServerNotice,
     now: Millis,
   ): NoticeEffect {
-    if (!this.tracker.isCurrent(backend)) return 'none';
+    if (!this.tracker.isCurrent(backend)) {
+      // What an earlier process says of its shutdown stays true.
+      if (isLeaving) this.tracker.recordDepartures([backend]);
+      return 'none';
+    }
     this.hasAnswered = true;
     this.pendingLimit = undefined;
     if (isLeaving && this.recordDeparture(backend, 'answer')) return 'departed';
@@ -86,11 +90,14 @@
 
   /** Applies what another node has heard; a limit only until this node hears an answer itself. */
   recordHeard(
-    {departure, limit}: HeardNotice,
+    {departure, departures, limit}: HeardNotice,
     source: 'peer' | 'store',
     now: Millis,
   ): NoticeEffect {
     if (departure && this.recordDeparture(departure, source)) return 'departed';
+    if (departures && this.tracker.recordDepartures(departures)) {
+      return 'departed';
+    }
     if (limit && !this.hasAnswered) this.pendingLimit = limit;
     return this.applyPendingLimit(now);
   }
--- a/test/platform/backend_standin.ts
+++ b/test/platform/backend_standin.ts
@@ -35,7 +35,8 @@
   callers: (string | undefined)[] = [];
   private readonly server: Server;
   private sequence = 0;
-  private readonly startedAt = Date.now();
+  /** Unix time of the start, as the heartbeats state it. */
+  startedAt = Date.now();
 
   constructor(
     readonly id: string,
@@ -93,6 +94,15 @@
     return answer.status;
   }
 
+  /** Says that the server leaves; returns the status of the response. */
+  async announceDeparture(body: string | undefined): Promise<number> {
+    const answer = await fetch(
+      `${this.announceUrl}/api/rpc?call=instances.deregister&of=${this.id}`,
+      {method: 'POST', body},
+    );
+    return answer.status;
+  }
+
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const id = String(request.headers[platformHeaders.requestId]);
     request.resume();
--- a/test/platform/test_fleet.ts
+++ b/test/platform/test_fleet.ts
@@ -181,9 +181,10 @@
         portBuilders: {
           buildAnnouncementPort: guard =>
             buildAnnouncementPort({
-              onReport: report => guard.applyReport(report),
+              onReport: report => guard.presence.applyReport(report),
               onMalformed: () => undefined,
-              onDeregister: server => guard.recordDeregistration(server),
+              onDeregister: notice =>
+                guard.presence.recordDeregistration(notice),
             }),
           buildReadinessPort,
         },
--- a/test/sidecar/server_notice.test.ts
+++ b/test/sidecar/server_notice.test.ts
@@ -35,7 +35,7 @@
 }
 
 function build() {
-  const tracker = new BackendTracker(undefined);
+  const tracker = new BackendTracker({});
   const registry = new Registry();
   const metrics = buildMetrics(registry);
   const logger = openSilentLogger();
