Let the settings decide the service of a VM, not a late heartbeat

After a restart of a node, a heartbeat that a partition had delayed came first; its sender had crashed and an upstream of another service had its address.

Cause: the service of the latest heartbeat went before the one in the settings, and a heartbeat of any configured service was accepted.

Change: the settings decide when they are read and whenever they name another service. A heartbeat of another service is accepted only if its process started after the settings were read: its address was taken over since. If its start time doesn't show that (a clock that was set back), it counts after three reports over 2 s and 6 s of silence of the current server. Everything else of another service is late, and refused with 409. Settings that name a new service end the use of the old server at once.

--- a/src/sidecar/backend_presence.ts
+++ b/src/sidecar/backend_presence.ts
@@ -59,7 +59,7 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
-    this.tracker = new BackendTracker(settings);
+    this.tracker = new BackendTracker(settings, clock.getTime());
     this.savedDepartures = this.tracker.getDepartures();
     this.notices = new NoticeTracker(this.tracker, rateLimit, metrics, logger);
   }
@@ -144,6 +144,14 @@
     this.applyEffect(effect === 'none' ? 'limit-changed' : effect);
   }
 
+  /** Applies changed settings: they decide the service of this VM from now on. */
+  updateSettings(settings: BackendSettings): void {
+    if (this.tracker.updateSettings(settings, this.clock.getTime())) {
+      this.logger.info(settings, 'backend server replaced by the settings');
+      this.handlers.onDeparture();
+    }
+  }
+
   private applyEffect(effect: NoticeEffect): void {
     void this.saveDepartures();
     switch (effect) {
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -31,6 +31,7 @@
 export interface BackendSettings {
   /** Listen address; reports with any other address are foreign. */
   readonly address?: string | undefined;
+  readonly service?: ServiceId | undefined;
 }
 
 /**
@@ -56,7 +57,10 @@
   readonly firstAt: Millis;
 }
 
-/** Tracks the current process of this VM's backend server. */
+/**
+ * Tracks the current process of this VM's backend server. Its service is the one that the settings name, until a process of
+ * another service that started after the settings were read takes the address over.
+ */
 export class BackendTracker {
   private latest: BackendReport | undefined;
   private departures: DepartureState = noDepartures;
@@ -64,10 +68,16 @@
   /** Undefined until the first report. */
   private lastAcceptedAt: Millis | undefined;
   private candidate: Candidate | undefined;
-  private readonly address: string | undefined;
+  private address: string | undefined;
+  private service: ServiceId | undefined;
 
-  constructor({address}: BackendSettings) {
+  constructor(
+    {address, service}: BackendSettings,
+    /** Unix time at which the settings were read. */
+    private settingsReadAt: Millis = 0,
+  ) {
     this.address = address;
+    this.service = service;
   }
 
   /** Latest report of the current process, if it accepts requests. */
@@ -81,6 +91,11 @@
     return this.latest;
   }
 
+  /** Service of this VM. */
+  getService(): ServiceId | undefined {
+    return this.latest?.service ?? this.service;
+  }
+
   getDeparture(): Departure | undefined {
     return this.departures.last;
   }
@@ -90,6 +105,23 @@
     return this.departures;
   }
 
+  /** Applies changed settings; returns whether they end the use of the current process. */
+  updateSettings({address, service}: BackendSettings, now: Millis): boolean {
+    const isSame = address === this.address && service === this.service;
+    if (isSame) return false;
+    this.address = address;
+    this.service = service;
+    this.settingsReadAt = now;
+    const {latest} = this;
+    const isReplaced =
+      (address !== undefined && latest?.address !== address) ||
+      (service !== undefined && latest?.service !== service);
+    if (!latest || !isReplaced) return false;
+    this.latest = undefined;
+    this.candidate = undefined;
+    return !this.hasLeft;
+  }
+
   /**
    * Records the departure of a process that was the current one, of which this node, one before it or another node has
    * heard; returns whether it ends the use of the current process.
@@ -124,9 +156,10 @@
       return 'foreign';
     }
     if (report.startedAtMs > now + maxClockErrorMs) return 'foreign';
-    const isRejected = this.isStale(report);
+    const isForeign = this.isOfOtherService(report);
+    const isRejected = isForeign || this.isStale(report);
     if (isRejected && !this.isSuccessor(report, now)) {
-      return this.recordStale(report);
+      return isForeign ? 'foreign' : this.recordStale(report);
     }
     if (isRejected) this.recordTakeover();
     this.lastAcceptedAt = now;
@@ -212,6 +245,13 @@
     this.setDepartures(latest ? addDeparture(all, latest) : all, undefined);
   }
 
+  /** Whether the settings name another service, and the process does not show that it came after them. */
+  private isOfOtherService({service, startedAtMs}: BackendReport): boolean {
+    if (this.service === undefined || service === this.service) return false;
+    const isCurrent = this.latest?.service === service;
+    return !isCurrent && startedAtMs <= this.settingsReadAt;
+  }
+
   /**
    * Whether a process that its start time does not show to be newer has nevertheless replaced the current one: the clock
    * may have been set back between the two starts.
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -48,7 +48,7 @@
     private readonly logger: Logger,
   ) {
     this.presence = new BackendPresence(
-      {address: settings.backendAddress},
+      {address: settings.backendAddress, service: settings.service},
       this.queue.rateLimit,
       {
         isKnownService: service => context.isKnownService(service),
--- a/src/sidecar/guard_state.ts
+++ b/src/sidecar/guard_state.ts
@@ -22,7 +22,10 @@
 }
 
 /** Settings that the guard needs. */
-export type GuardSettings = Pick<SidecarSettings, 'address' | 'backendAddress'>;
+export type GuardSettings = Pick<
+  SidecarSettings,
+  'address' | 'backendAddress' | 'service'
+>;
 
 /** Makes the state of a guard that other nodes are told. */
 export function makeGuardState(
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -288,6 +288,8 @@
   /** Applies changed settings; only the service, the retry limits and the grace period take effect at run time. */
   updateSettings(settings: SidecarSettings): void {
     this.settings = settings;
+    const {backendAddress: address, service} = settings;
+    this.guard.presence.updateSettings({address, service});
     this.logger.info({settings}, 'settings reloaded');
   }
 
@@ -323,9 +325,7 @@
   }
 
   private getCallerService(): ServiceId | undefined {
-    return (
-      this.guard.presence.tracker.getLatest()?.service ?? this.settings.service
-    );
+    return this.guard.presence.tracker.getService();
   }
 
   private getChannel(node: NodeId): Channel | undefined {
--- a/test/platform/departures.test.ts
+++ b/test/platform/departures.test.ts
@@ -1,4 +1,5 @@
-// Guards against a server that gets work although a node has acknowledged that it leaves (DRAIN of the review, case 2).
+// Guards against a server that gets work although a node has acknowledged that it leaves (DRAIN of the review, case 2), and
+// against a late report that changes the service that other servers are told as the caller (UNASKED, case 4).
 
 import test from 'ava';
 import {systemClock} from '../../src/base/index.js';
@@ -92,3 +93,22 @@
   fleet.store.mode = 'ok';
   await restarted;
 });
+
+test('a late report of another service does not change the caller service of a restarted node', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 2);
+  const services = {
+    bench: makeConfig(1).services.bench,
+    other: makeConfig(1).services.bench,
+  };
+  fleet.store.writeConfig({...makeConfig(2), services});
+  await systemClock.sleep(1000);
+  const [{backend}, other] = fleet.vms;
+  await fleet.restartNode(t, 0);
+  await waitUntil(
+    async () => (await backend.announce('ready', 'other')) === 409,
+  );
+  await sendSome(fleet, 0);
+  t.true(other.backend.callers.length > 0);
+  t.deepEqual([...new Set(other.backend.callers)], ['bench']);
+});
--- a/test/sidecar/backend_tracker.test.ts
+++ b/test/sidecar/backend_tracker.test.ts
@@ -132,7 +132,8 @@
   }
 });
 
-// Guards against forgetting what was acknowledged (DRAIN of the review, case 2).
+// Guards against forgetting what was acknowledged (DRAIN of the review, case 2) and against a late report that changes the
+// service of the VM (UNASKED of the review, case 4).
 
 const server = asId<BackendServerId>('s1');
 
@@ -234,3 +235,44 @@
   t.is(tracker.applyReport(odd, 10), 'foreign');
   t.is(tracker.applyReport(makeReport({sequence: 2}), 20), 'refreshed');
 });
+
+const own = asId<ServiceId>('bench');
+const other = asId<ServiceId>('other');
+
+test('a late report of another service than that of the settings is foreign; a process that started since takes over', t => {
+  const tracker = new BackendTracker({address, service: own}, 3000);
+  const late = makeReport({service: other, startedAtMs: 1000});
+  t.is(tracker.applyReport(late, 4000), 'foreign');
+  t.is(tracker.getService(), own);
+  t.is(tracker.applyReport(makeReport({startedAtMs: 2000}), 4100), 'new');
+  const next = {server: asId<BackendServerId>('s2'), startedAtMs: 5000};
+  const successor = makeReport({...next, service: other});
+  t.is(tracker.applyReport(successor, 6000), 'new');
+  t.is(tracker.getService(), other);
+  const lateOwn = makeReport({startedAtMs: 2000, sequence: 2});
+  t.is(tracker.applyReport(lateOwn, 6100), 'stale');
+  t.is(tracker.getService(), other);
+});
+
+test('a service that the settings name anew decides at once, and late reports of the one before are foreign', t => {
+  const tracker = new BackendTracker({address, service: own}, 0);
+  tracker.applyReport(makeReport(), 1100);
+  t.true(tracker.updateSettings({address, service: other}, 2000));
+  t.is(tracker.getService(), other);
+  t.is(tracker.getReady(), undefined);
+  t.is(tracker.applyReport(makeReport({sequence: 5}), 2100), 'foreign');
+  const next = {server: asId<BackendServerId>('s2'), startedAtMs: 1900};
+  const successor = makeReport({...next, service: other});
+  t.is(tracker.applyReport(successor, 2200), 'new');
+  t.false(tracker.updateSettings({address, service: other}, 9000));
+});
+
+test('a process of another service that no start time shows to be newer is used after three reports of its own', t => {
+  const tracker = new BackendTracker({address, service: own}, 50_000);
+  const odd = {service: other, startedAtMs: 40_000};
+  const results = [0, 1500, 3000, 4500, 6000, 7500].map((now, index) =>
+    tracker.applyReport(makeReport({...odd, sequence: index + 1}), now),
+  );
+  t.deepEqual(results.slice(0, 5), Array(5).fill('foreign'));
+  t.is(results[5], 'new');
+});
