Let each node find out by itself that its connection to the store is silent

Cause: the wait of a poll grew with the number of nodes, to 8.4 s at 21 and 15 s at 38, because the first node to notice tells the others; it tells them over links that the same event has silenced.

Each node makes about one call a second, at any size; 1,000 nodes stay below the 2,000 reads of the first users' store.

--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -83,7 +83,6 @@
         this.entry.setRouting(routing);
         this.mesh.publish({kind: 'version', version: routing.version});
       },
-      () => this.mesh.countNodes(),
       () => this.joinDirectory(this.abortController.signal),
       this.metrics,
       clock,
--- a/src/sidecar/routing_follower.ts
+++ b/src/sidecar/routing_follower.ts
@@ -12,19 +12,14 @@
 import {Routing} from './routing.js';
 
 /**
- * Bounds of the longest wait of a poll. A connection may go silent without a reset, at all nodes at once, and the end of a
- * poll is what shows it: at the lower bound, the wait, its margin and a new listing together stay below the 3 s after which
- * a disturbed VM must be up to date.
+ * Longest wait of a poll. Connections may go silent without a reset, those to the store and those to other nodes together,
+ * and the end of its own poll is all that shows it to a node: the wait, its margin, the pause after an update and a new
+ * listing together stay below the 2 s within which a change must be in force. Each node polls as often in a fleet of any
+ * size.
  */
-const minPollWaitMs: Millis = 2000;
-const maxPollWaitMs: Millis = 15_000;
-/**
- * Mean time between the ends of two polls in the fleet. The node that finds its connection silent reads the newest version
- * and tells the others, so that more nodes need not poll more often together.
- */
-const fleetPollIntervalMs: Millis = 400;
+const maxPollWaitMs: Millis = 1150;
 /** Shortest wait, as a fraction of the longest; the spread keeps nodes that a change woke together from polling in step. */
-const minPollWaitFraction = 0.05;
+const minPollWaitFraction = 0.9;
 /** Pause after an update, so that changes in quick succession are read together. */
 const coalesceDelayMs: Millis = 250;
 /**
@@ -71,7 +66,6 @@
     private readonly store: KeyedStore,
     private readonly source: RoutingSource,
     private readonly onChange: (routing: Routing) => void,
-    private readonly countNodes: () => number,
     /** Called when the store has come back from an older copy. */
     private readonly onStoreRestored: () => void,
     private readonly metrics: StoreMetrics,
@@ -187,9 +181,12 @@
           continue;
         }
         this.recordReachability(false, describeError(error));
+        // A poll that fails first may only show a dead connection; a new one is tried at once.
+        if (from === undefined) {
+          await this.clock.sleep(retryDelayMs, signal);
+          retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
+        }
         from = undefined;
-        await this.clock.sleep(retryDelayMs, signal);
-        retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
       }
     }
   }
@@ -251,16 +248,12 @@
   }
 
   private choosePollWait(): Millis {
-    const longestMs = Math.min(
-      maxPollWaitMs,
-      Math.max(minPollWaitMs, this.countNodes() * fleetPollIntervalMs),
-    );
     const fraction =
       minPollWaitFraction + (1 - minPollWaitFraction) * this.random();
     const untilRelistMs =
       (this.relistTimes.at(0) ?? Infinity) - this.clock.getTime();
     return Math.round(
-      Math.max(0, Math.min(longestMs * fraction, untilRelistMs)),
+      Math.max(0, Math.min(maxPollWaitMs * fraction, untilRelistMs)),
     );
   }
 
--- a/test/platform/config_propagation.test.ts
+++ b/test/platform/config_propagation.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import {systemClock} from '../../src/base/index.js';
-import {makeConfig, TestFleet, Vm} from './test_fleet.js';
+import {
+  makeConfig,
+  makeGrownConfig,
+  TestFleet,
+  Vm,
+  waitUntil,
+} from './test_fleet.js';
 
 /** Time from the confirmation of a change until it must be in force, at the first users. */
 const applyMs = 2000;
@@ -9,6 +15,8 @@
 /** Time by which the bound grows after the store lost its history, at the first users. */
 const stretchMs = 5000;
 
+/** The first users' store takes 2,000 reads a second, and their largest sweep has 1,000 nodes. */
+const maxCallsPerSecond = 2;
 /** Time from the start of a node until it only polls the store. */
 const settledMs = 7000;
 
@@ -31,6 +39,34 @@
   for (const vm of fleet.vms) t.true(await isServed(fleet, vm));
 });
 
+test('a change that follows the silence of all connections at once is in force in time on a node without peers', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 1);
+  await systemClock.sleep(settledMs);
+  const [vm] = fleet.vms;
+  for (const version of [2, 3, 4]) {
+    // The worst moment is the start of a poll.
+    const polls = fleet.store.calls.length;
+    await waitUntil(() => fleet.store.calls.length > polls);
+    fleet.store.freezeConnections();
+    fleet.store.writeConfig(makeGrownConfig(version));
+    await systemClock.sleep(applyMs - 100);
+    const {status} = await fleet.send(vm, `/v${version}/x`);
+    t.is(status, 200, `version ${version}`);
+  }
+});
+
+test('the calls of a node to the store do not grow with the fleet', async t => {
+  const fleet = new TestFleet();
+  await fleet.start(t, 4);
+  await systemClock.sleep(settledMs);
+  const before = fleet.store.calls.length;
+  const spanS = 4;
+  await systemClock.sleep(spanS * 1000);
+  const perNode = (fleet.store.calls.length - before) / spanS / 4;
+  t.true(perNode <= maxCallsPerSecond, `${perNode} calls a second`);
+});
+
 test('a change made in a gap of the history is not missed when the listing after the gap is stale', async t => {
   const fleet = new TestFleet();
   await fleet.start(t, 1);
