Ignore odd entries of other writers in records, messages and heartbeats

A record in the nodes' topic with the address 127.0.0.1:99999, or with none, ended each process that started: the WebSocket client throws on it, in a task that nobody awaits. Found with it, looking for entries that are taken without a check: - a field nested too deeply made the description of the mismatch overflow the stack, so that a starting node never joined and a follower of the configuration started anew again and again; - messages of peers were taken as their kind said, and an exception while one was handled ended the process; - a record under another node id with the address of a node replaced the good link to it every 1.5 s.

Change: addresses are checked where records, hellos and lists of nodes are read; fields of messages are checked for each kind; numbers must be safe integers in their range; a mismatch describes lists and objects by their type only; a failing message ends its link, not the process; a link is refused by a node that it is not meant for, and the record is dropped.

--- a/src/base/decode.ts
+++ b/src/base/decode.ts
@@ -27,13 +27,17 @@
     .filter(key => key !== '')
     .join('.');
   const expected = deepest.context[deepest.context.length - 1].type.name;
-  const shown = String(JSON.stringify(deepest.value)).slice(
-    0,
-    maxShownCharacters,
-  );
+  const shown = describeValue(deepest.value).slice(0, maxShownCharacters);
   return `${path || 'value'}: expected ${expected}, got ${shown}`;
 }
 
+/** Describes a value without its parts, which may be nested too deeply to be printed. */
+function describeValue(value: unknown): string {
+  if (Array.isArray(value)) return 'a list';
+  if (typeof value === 'object' && value !== null) return 'an object';
+  return String(JSON.stringify(value));
+}
+
 /** Parses untrusted JSON; undefined if the text is not JSON, which the codec then reports as a mismatch. */
 export function parseJson(text: string): unknown {
   try {
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -1,5 +1,5 @@
 import {RawData, WebSocket} from 'ws';
-import {Clock, Millis} from '../base/index.js';
+import {Clock, describeError, Millis} from '../base/index.js';
 import {decodeMessage, encodeMessage, MeshMessage} from './messages.js';
 
 /** Weight of a new sample in the moving average of reply times. */
@@ -22,7 +22,8 @@
 /** Callbacks for the events of a link. */
 export interface LinkHandlers {
   onMessage(message: MeshMessage): void;
-  onMalformed(): void;
+  /** A frame is no message, or handling it failed with the error. */
+  onMalformed(error?: string): void;
   onClose(): void;
 }
 
@@ -42,11 +43,14 @@
     socket.on('message', (data: RawData) => {
       this.recordReceived();
       const message = decodeMessage(data as Buffer);
-      if (message) handlers.onMessage(message);
-      else {
+      try {
+        if (message) return handlers.onMessage(message);
         handlers.onMalformed();
-        socket.terminate();
+      } catch (error) {
+        // A message of a peer must not end the process.
+        handlers.onMalformed(describeError(error));
       }
+      socket.terminate();
     });
     socket.on('error', () => socket.terminate());
     socket.on('close', () => handlers.onClose());
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -2,6 +2,7 @@
 import {
   BatchingLogger,
   Clock,
+  isIpAddress,
   Logger,
   Millis,
   NodeId,
@@ -9,6 +10,7 @@
 } from '../base/index.js';
 import {KnownNode, makeKnownNode, Peer} from './known_node.js';
 import {Link} from './link.js';
+import {isLinkFor, makeLinkUrl} from './link_url.js';
 import {
   encodeMessage,
   EntryMessage,
@@ -88,7 +90,10 @@
       maxPayload: maxFrameBytes,
     });
     this.server = server;
-    server.on('connection', socket => void this.runLink(socket, false));
+    server.on('connection', (socket, {url}) => {
+      if (isLinkFor(this.self.node, url)) void this.runLink(socket);
+      else this.refuseLink(socket);
+    });
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve);
       server.once('error', reject);
@@ -100,6 +105,9 @@
   /** Adds a node; a task dials it until it is linked. */
   addNode(node: NodeId, address: string): void {
     if (node === this.self.node) return;
+    if (!isIpAddress(address)) {
+      return this.logger.warn({peer: node, address}, 'peer with odd address');
+    }
     const known = this.nodes.get(node);
     if (known) {
       if (!known.link) known.address = address;
@@ -157,14 +165,14 @@
   private async dialUntilLinked(known: KnownNode): Promise<void> {
     let delayMs = minRedialDelayMs;
     while (!known.link && this.server) {
-      const socket = new WebSocket(`ws://${known.address}/link`, {
+      const socket = new WebSocket(makeLinkUrl(known.address, known.node), {
         perMessageDeflate: false,
         handshakeTimeout: dialTimeoutMs,
         localAddress: this.self.address,
         maxPayload: maxFrameBytes,
       });
-      await this.runLink(socket, true);
-      if (known.link) return;
+      await this.runLink(socket, known.node);
+      if (known.link || this.nodes.get(known.node) !== known) return;
       if (this.clock.getTime() - known.unreachableSince > unreachableExpiryMs) {
         this.nodes.delete(known.node);
         this.logger.warn({peer: known.node}, 'unreachable peer removed');
@@ -175,21 +183,30 @@
     }
   }
 
-  /** Runs a link opened by either side; resolves when the peer's hello has arrived or the link has failed. */
-  private runLink(socket: WebSocket, isDialled: boolean): Promise<void> {
+  /**
+   * Runs a link opened by either side; resolves when the peer's hello has arrived or the link has failed. `dialled` is the
+   * node that this one has dialled.
+   */
+  private runLink(socket: WebSocket, dialled?: NodeId): Promise<void> {
     return new Promise(resolve => {
       let known: KnownNode | undefined;
       const link = new Link(socket, this.clock, {
         onMessage: message => {
           if (message.kind === 'hello') {
-            known ??= this.registerLink(link, message, isDialled);
+            const isOther = dialled !== undefined && message.node !== dialled;
+            if (isOther) this.removeMisaddressed(dialled, message, link);
+            else
+              known ??= this.registerLink(link, message, dialled !== undefined);
             resolve();
           } else if (known?.link === link && known.peer) {
             this.handleMessage(known, known.peer, message);
           }
         },
-        onMalformed: () =>
-          this.logger.warn({peer: known?.node}, 'malformed frame; link closed'),
+        onMalformed: error =>
+          this.logger.warn(
+            {peer: known?.node, error},
+            'malformed frame; link closed',
+          ),
         onClose: () => {
           this.links.delete(link);
           if (known?.link === link) this.recordLinkLoss(known);
@@ -207,6 +224,20 @@
     });
   }
 
+  /** Ends a link that is meant for another node; the hello tells its dialler. */
+  private refuseLink(socket: WebSocket): void {
+    socket.on('error', () => socket.terminate());
+    socket.send(encodeMessage(this.handlers.makeHello()));
+    socket.close();
+  }
+
+  /** Removes a node whose record names the address of another one, which has its own record and link. */
+  private removeMisaddressed(node: NodeId, {node: other}: Hello, link: Link) {
+    this.logger.warn({peer: node, other}, 'peer removed: other node there');
+    this.nodes.delete(node);
+    link.close();
+  }
+
   /**
    * Registers a link as the current one to its node; an older link is aborted, and messages in transit on it are lost.
    * Returns undefined if the link is closed instead, because it is a duplicate or leads to this node itself.
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -9,6 +9,7 @@
   ServiceId,
 } from '../base/index.js';
 import {ServerVerdict, WantedRequests} from '../dispatch/index.js';
+import {isMeshMessage} from './message_check.js';
 
 /** A backend process; a server that starts again under its id is another one. */
 export interface BackendProcess {
@@ -248,32 +249,6 @@
 /** Any message between nodes. */
 export type MeshMessage = EntryMessage | GuardMessage | NodeMessage;
 
-const messageKinds: ReadonlySet<string> = new Set<MeshMessage['kind']>([
-  'request',
-  'withdraw',
-  'send',
-  'cancel',
-  'credit',
-  'granted',
-  'queued',
-  'refused',
-  'head',
-  'chunk',
-  'end',
-  'failed',
-  'hello',
-  'holding',
-  'guard',
-  'idle',
-  'heard',
-  'ping',
-  'pong',
-  'version',
-  'want-routing',
-  'routing',
-  'nodes',
-]);
-
 const packr = new Packr({useRecords: false});
 
 /** Encodes a message as one binary frame. */
@@ -281,14 +256,11 @@
   return packr.pack(message);
 }
 
-/** Decodes a frame; returns undefined if it is not a message of a known kind. */
+/** Decodes a frame; returns undefined if it is not a message that can be relied on. */
 export function decodeMessage(bytes: Buffer): MeshMessage | undefined {
   try {
     const value: unknown = packr.unpack(bytes);
-    const kind = (value as {kind?: unknown} | null)?.kind;
-    return typeof kind === 'string' && messageKinds.has(kind)
-      ? (value as MeshMessage)
-      : undefined;
+    return isMeshMessage(value) ? value : undefined;
   } catch {
     // The caller logs the frame as malformed and closes the link.
     return undefined;
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -6,6 +6,7 @@
   Clock,
   decodeWith,
   describeError,
+  isIpAddress,
   Logger,
   Millis,
   NodeId,
@@ -17,6 +18,7 @@
 
 const minRetryDelayMs: Millis = 200;
 const maxRetryDelayMs: Millis = 1500;
+const maxNodeIdLength = 200;
 /** Interval at which a departure to be stored waits for the first listing. */
 const joinPollMs: Millis = 20;
 
@@ -189,11 +191,11 @@
   private decode({key, value}: KeyedRecord): DirectoryEntry | undefined {
     if (value.length === 0) return undefined;
     const entry = decodeWith(entryCodec, parseJson(value.toString()));
-    if (E.isLeft(entry)) {
-      this.logger.warn(
-        {key, error: describeError(entry.left)},
-        'node record ignored: malformed',
-      );
+    const problem = E.isLeft(entry)
+      ? describeError(entry.left)
+      : findInvalidField(key, entry.right);
+    if (E.isLeft(entry) || problem) {
+      this.logger.warn({key, error: problem}, 'node record ignored: malformed');
       return undefined;
     }
     const {address, departure, departures} = entry.right;
@@ -207,6 +209,18 @@
   }
 }
 
+function findInvalidField(
+  key: string,
+  {address, departure, departures = []}: t.TypeOf<typeof entryCodec>,
+): string | undefined {
+  if (key.length > maxNodeIdLength) return 'the node id is too long';
+  if (!isIpAddress(address)) return `address: expected IP:port, got ${address}`;
+  const isPlausible = [...departures, ...(departure ? [departure] : [])].every(
+    ({startedAtMs}) => Number.isSafeInteger(startedAtMs) && startedAtMs >= 0,
+  );
+  return isPlausible ? undefined : 'departures: expected whole milliseconds';
+}
+
 function toDeparture({
   server,
   startedAtMs,
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -4,12 +4,17 @@
   asId,
   ManualClock,
   BatchingLogger,
+  DataCentreId,
   NodeId,
   openSilentLogger,
+  systemClock,
 } from '../../src/base/index.js';
 import {Mesh, MeshHandlers} from '../../src/mesh/index.js';
 import {waitUntil} from '../platform/test_fleet.js';
 
+/** Free on the addresses of this file. */
+const linkPort = 21_900 + (process.pid % 90);
+
 function handleNothing(): void {}
 
 function makeHandlers(): MeshHandlers {
@@ -73,3 +78,53 @@
   t.is(peer.countDials(), 1);
   peer.stop();
 });
+
+function startMesh(
+  name: string,
+  address: string,
+  onPeerUp: MeshHandlers['onPeerUp'],
+  signal: AbortSignal,
+): Promise<Mesh> {
+  const node = asId<NodeId>(name);
+  const mesh = new Mesh(
+    {node, address, port: linkPort},
+    {
+      ...makeHandlers(),
+      onPeerUp,
+      makeHello: () => ({
+        kind: 'hello',
+        node,
+        incarnation: 1,
+        address: `${address}:${linkPort}`,
+        dataCentre: asId<DataCentreId>('z'),
+        isJoined: true,
+        routingVersion: 0,
+        guard: {kind: 'closed', reason: 'no-server'},
+      }),
+    },
+    systemClock,
+    () => 0.5,
+    openSilentLogger(),
+    new BatchingLogger(systemClock, openSilentLogger()),
+  );
+  return mesh.start(signal).then(() => mesh);
+}
+
+// Guards against an odd record, under another node id, that makes a node replace a good link again and again.
+test('a record that names the address of another node does not disturb the link to that node', async t => {
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  let links = 0;
+  const {signal} = stop;
+  const countLink = () => (links += 1);
+  const a = await startMesh('a', '127.0.0.3', countLink, signal);
+  await startMesh('b', '127.0.0.4', handleNothing, signal);
+  a.addNode(asId<NodeId>('b'), `127.0.0.4:${linkPort}`);
+  await waitUntil(() => links === 1);
+  a.addNode(asId<NodeId>('odd'), `127.0.0.4:${linkPort}`);
+  a.addNode(asId<NodeId>('self'), `127.0.0.3:${linkPort}`);
+  a.addNode(asId<NodeId>('far'), '127.0.0.4:99999');
+  await systemClock.sleep(3000);
+  t.is(links, 1);
+  t.is(a.countNodes(), 1);
+});
