Bound request bodies at entries and guards, and send large ones in parts

Change: the entry keeps a body as the parts that arrived. Bodies over 64 KiB follow their request in parts of the size in which they arrived, while less than 256 KiB wait on the link, so that other exchanges of the link go on. The slot request names the size; the guard grants the slot when the memory for it is free, runs the request once all parts are there, and passes them to the server as its connection takes them. A request of which parts are missing when its link is lost was not run. The time that the parts took counts towards the deadline. A metric, fescuewheel_held_bytes, shows what is held and may be held.

--- a/src/base/byte_budget.ts
+++ b/src/base/byte_budget.ts
@@ -13,9 +13,14 @@
     return this.used >= this.limit;
   }
 
-  /** Claims bytes if they fit; a single claim fits at any size while nothing else is held. */
+  /** Whether bytes fit; a single claim fits at any size while nothing else is held. */
+  canClaim(bytes: number): boolean {
+    return this.used === 0 || this.used + bytes <= this.limit;
+  }
+
+  /** Claims bytes if they fit. */
   claim(bytes: number): boolean {
-    if (this.used > 0 && this.used + bytes > this.limit) return false;
+    if (!this.canClaim(bytes)) return false;
     this.used += bytes;
     return true;
   }
--- a/src/dispatch/slot_queue.ts
+++ b/src/dispatch/slot_queue.ts
@@ -18,6 +18,8 @@
   readonly share: number;
   /** Whether the request answers a report that the server is idle; such a request is a trial of a faulty server. */
   readonly isForIdle: boolean;
+  /** Memory that the request takes at the guard once it has a slot. */
+  readonly bodyBytes?: number;
 }
 
 interface QueuedRequest<Key> {
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -106,7 +106,7 @@
   addNode(node: NodeId, address: string): void {
     if (node === this.self.node) return;
     if (!isIpAddress(address)) {
-      return this.logger.warn({peer: node, address}, 'peer with odd address');
+      return this.logger.warn({node, address}, 'peer with odd address');
     }
     const known = this.nodes.get(node);
     if (known) {
@@ -326,6 +326,7 @@
       case 'request':
       case 'withdraw':
       case 'send':
+      case 'body':
       case 'cancel':
       case 'credit':
         return this.handlers.onEntryMessage(peer, message);
@@ -354,9 +355,7 @@
       case 'routing':
         return this.handlers.onRoutingDocument(peer, message.document);
       case 'nodes':
-        for (const [node, address] of message.nodes) {
-          this.addNode(node, address);
-        }
+        for (const entry of message.nodes) this.addNode(...entry);
         return;
       case 'ping':
         known.link?.send({kind: 'pong'});
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -101,6 +101,9 @@
  */
 export const initialCreditBytes = 32 * 1024;
 
+/** Request bodies up to this size are sent with their request, larger ones after it, in parts. */
+export const maxInlineBodyBytes = 64 * 1024;
+
 /** Header fields as a flat list: name, value, name, value. */
 export type RawHeaders = readonly string[];
 
@@ -125,6 +128,8 @@
       readonly share: number;
       /** Set if the request answers a report that the server is idle. */
       readonly isForIdle?: boolean;
+      /** Size of a body that is sent in parts; the guard grants the slot when it has the memory for it. */
+      readonly bodyBytes?: number;
     }
   | {readonly kind: 'withdraw'; readonly id: number}
   | {
@@ -134,9 +139,17 @@
       readonly target: string;
       readonly headers: RawHeaders;
       readonly body: Uint8Array | null;
+      /** Set if the body follows in parts. */
+      readonly bodyBytes?: number;
       readonly caller: ServiceId | undefined;
       readonly deadlineInMs: Millis;
     }
+  /** Part of a request body. The request has not been run while parts are missing. */
+  | {
+      readonly kind: 'body';
+      readonly id: number;
+      readonly bytes: Uint8Array;
+    }
   | {readonly kind: 'cancel'; readonly id: number}
   | {
       /**
--- a/src/sidecar/backend_client.ts
+++ b/src/sidecar/backend_client.ts
@@ -1,3 +1,4 @@
+import {Readable} from 'node:stream';
 import {Dispatcher} from 'undici';
 import {
   BackendServerId,
@@ -14,6 +15,7 @@
   BackendConnection,
   BackendConnectionPool,
 } from './backend_connection_pool.js';
+import {RequestBody} from './caller_request.js';
 import {findHeader, pickEndToEnd} from './raw_headers.js';
 import {ServerNotice} from './server_notice.js';
 
@@ -28,7 +30,8 @@
   readonly method: string;
   readonly target: string;
   readonly headers: RawHeaders;
-  readonly body: Uint8Array | null;
+  /** In parts; empty if there is none. */
+  readonly body: RequestBody;
   readonly caller: ServiceId | undefined;
   readonly deadlineAt: Millis;
   readonly signal: AbortSignal;
@@ -97,7 +100,7 @@
         path: request.target,
         method: request.method as Dispatcher.HttpMethod,
         headers: this.makeHeaders(request, remainingMs),
-        body: request.body,
+        body: makeBody(request.body),
         signal: request.signal,
         responseHeaders: 'raw',
       });
@@ -138,8 +141,10 @@
   }
 
   private makeHeaders(request: BackendRequest, remainingMs: Millis): string[] {
+    const {body} = request;
     return [
       ...request.headers,
+      ...(body.length > 1 ? ['content-length', String(countBytes(body))] : []),
       headerNames.requestId,
       request.requestId,
       headerNames.remainingMs,
@@ -208,6 +213,15 @@
   }
 }
 
+/** Converts a body for the HTTP client, which writes one in several parts as the connection takes them. */
+function makeBody(body: RequestBody): Uint8Array | Readable | null {
+  return body.length > 1 ? Readable.from(body) : (body[0] ?? null);
+}
+
+function countBytes(body: RequestBody): number {
+  return body.reduce((sum, part) => sum + part.length, 0);
+}
+
 const connectErrorCodes: ReadonlySet<string | undefined> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -127,11 +127,6 @@
    * heard; returns whether it ends the use of the current process.
    */
   recordDeparture(departure: Departure): boolean {
-    if (this.isCurrent(departure)) {
-      const isNews = !this.hasLeft;
-      this.markDeparted(departure);
-      return isNews;
-    }
     const {last} = this.departures;
     const isNewer = !last || last.startedAtMs < departure.startedAtMs;
     this.addDeparture(departure, isNewer ? departure : last);
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -105,7 +105,7 @@
     if (!requestId)
       return this.refuse(callerResponse, requestId, 'bad-request');
     const deadlineAt = receivedAt + readTimeLimit(request, route);
-    const body = await readRequestBody(
+    const read = await readRequestBody(
       request,
       {
         maxBytes: routingTable.routing.limits.maxBodyBytes,
@@ -114,10 +114,10 @@
       },
       this.clock,
     );
-    if (body.kind === 'too-large' || body.kind === 'busy') {
-      return this.refuse(callerResponse, requestId, body.kind);
+    if (read.kind === 'too-large' || read.kind === 'busy') {
+      return this.refuse(callerResponse, requestId, read.kind);
     }
-    if (body.kind !== 'complete') {
+    if (read.kind !== 'complete') {
       this.logger.info(
         {requestId, result: 'caller-left'},
         'request body incomplete',
@@ -132,7 +132,7 @@
         method: request.method ?? 'GET',
         target: request.url ?? '/',
         headers: pickForBackend(request.rawHeaders),
-        body: body.bytes.length > 0 ? body.bytes : null,
+        body: read.body,
         receivedAt,
         deadlineAt,
       },
@@ -146,7 +146,7 @@
       task.cancel();
       task.releaseMemory();
     });
-    await task.run().finally(() => body.release());
+    await task.run().finally(() => read.release());
     if (response.closed) return task.releaseMemory();
     this.scheduleAbort(response, deadlineAt);
   }
--- a/src/sidecar/exchange_runner.ts
+++ b/src/sidecar/exchange_runner.ts
@@ -7,6 +7,7 @@
 } from '../mesh/index.js';
 import {BackendClient, BackendOutcome} from './backend_client.js';
 import {BackendReport} from './backend_tracker.js';
+import {RequestBody} from './caller_request.js';
 import {Exchange, Session} from './guard_sessions.js';
 import {ServerNotice} from './server_notice.js';
 
@@ -41,6 +42,7 @@
   async run(
     exchange: Exchange,
     message: SendMessage,
+    body: RequestBody,
     backend: BackendReport,
   ): Promise<BackendOutcome> {
     const startedAt = this.clock.getTime();
@@ -54,7 +56,7 @@
         method: message.method,
         target: message.target,
         headers: message.headers,
-        body: message.body,
+        body,
         caller: message.caller,
         deadlineAt: startedAt + message.deadlineInMs,
         signal,
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -1,4 +1,4 @@
-import {ByteBudget, Clock, Logger, Millis, runEvery} from '../base/index.js';
+import {Clock, Logger, Millis, runEvery} from '../base/index.js';
 import {SlotQueue} from '../dispatch/index.js';
 import {
   Channel,
@@ -19,7 +19,9 @@
 } from './guard_sessions.js';
 import {GuardMetrics} from './metrics.js';
 import {GuardContext, GuardSettings, makeGuardState} from './guard_state.js';
+import {GuardBudgets} from './memory_budgets.js';
 import {PartBuffer} from './part_buffer.js';
+import {ReceivedBody} from './received_body.js';
 import {SendWindow} from './send_window.js';
 import {BackendMonitor} from './backend_monitor.js';
 import {SlotAdmission} from './slot_admission.js';
@@ -42,7 +44,7 @@
   constructor(
     private readonly context: GuardContext,
     settings: GuardSettings,
-    private readonly retainedParts: ByteBudget,
+    private readonly budgets: GuardBudgets,
     private readonly metrics: GuardMetrics,
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -68,7 +70,7 @@
     this.runner = new ExchangeRunner(
       settings.address,
       () => this.getSlotCounts(),
-      retainedParts,
+      budgets.retainedParts,
       () => this.sessions.removeRetainedParts(),
       (backend, notice) => this.presence.recordAnswer(backend, notice),
       clock,
@@ -152,10 +154,15 @@
       case 'request':
         return this.onRequest(session, message);
       case 'send':
-        if (exchange?.phase === 'granted')
-          void this.runExchange(exchange, message);
+        if (exchange?.phase === 'granted') this.onSend(exchange, message);
         else if (!exchange) this.runner.refuseSend(session, message.id);
         return;
+      case 'body':
+        if (exchange?.phase !== 'receiving') return;
+        if (exchange.received?.addPart(message.bytes)) {
+          void this.runExchange(exchange);
+        }
+        return;
       case 'withdraw':
       case 'cancel':
         if (!exchange) return;
@@ -194,8 +201,9 @@
       abort: new AbortController(),
       phase: 'waiting',
       server: undefined,
+      received: undefined,
       phaseStartedAt: now,
-      parts: new PartBuffer(this.retainedParts),
+      parts: new PartBuffer(this.budgets.retainedParts),
       window: new SendWindow(),
     };
     session.exchanges.set(message.id, exchange);
@@ -230,18 +238,23 @@
   }
 
   private grantSlots(): void {
+    const {budgets} = this;
     const backend = this.presence.getReady();
     if (!backend || this.context.isShuttingDown()) return;
     for (;;) {
       const now = this.clock.getTime();
       const running = this.queue.countRunning();
       const limits = this.context.getRetryLimits(backend.service);
+      const mayStart = this.admission.makeStartFilter(running, limits, now);
       const next = this.queue.claimNext(
         now,
-        this.admission.makeStartFilter(running, limits, now),
+        request =>
+          mayStart(request) && budgets.bodies.canClaim(request.bodyBytes ?? 0),
       );
       if (!next) return;
       const exchange = next.key;
+      const {bodyBytes = 0} = exchange.request;
+      exchange.received = new ReceivedBody(budgets.bodies, bodyBytes);
       exchange.phase = 'granted';
       exchange.server = backend.server;
       exchange.phaseStartedAt = now;
@@ -256,12 +269,21 @@
     }
   }
 
-  private async runExchange(
-    exchange: Exchange,
-    message: SendMessage,
-  ): Promise<void> {
+  private onSend(exchange: Exchange, message: SendMessage): void {
+    const now = this.clock.getTime();
+    if (exchange.received?.setRequest(message, now)) {
+      void this.runExchange(exchange);
+    } else {
+      exchange.phase = 'receiving';
+      exchange.phaseStartedAt = now;
+    }
+  }
+
+  private async runExchange(exchange: Exchange): Promise<void> {
     const now = this.clock.getTime();
     const backend = this.presence.getReady();
+    const request = exchange.received?.getRequest(now);
+    if (!request) return;
     // The server may have been replaced or have shut down since the grant.
     if (!backend || backend.server !== exchange.server) {
       this.runner.sendFailure(exchange, 'revoked', false, 'the server left');
@@ -270,7 +292,8 @@
     exchange.phase = 'running';
     exchange.phaseStartedAt = now;
     this.monitor.recordStart(exchange);
-    const outcome = await this.runner.run(exchange, message, backend);
+    const {message, body} = request;
+    const outcome = await this.runner.run(exchange, message, body, backend);
     this.recordOutcome(exchange, now, outcome);
     this.grantSlots();
     this.publishState();
@@ -335,8 +358,13 @@
   private endExchange(exchange: Exchange): void {
     if (exchange.phase === 'ended') return;
     const now = this.clock.getTime();
-    if (exchange.phase === 'granted') this.queue.releaseUnused(exchange, now);
-    else this.queue.release(exchange);
+    if (exchange.phase === 'granted' || exchange.phase === 'receiving') {
+      this.queue.releaseUnused(exchange, now);
+    } else {
+      this.queue.release(exchange);
+    }
+    exchange.received?.release();
+    exchange.received = undefined;
     if (exchange.phase === 'running') exchange.abort.abort();
     exchange.phase = 'ended';
     exchange.phaseStartedAt = now;
--- a/src/sidecar/guard_calls.ts
+++ b/src/sidecar/guard_calls.ts
@@ -8,10 +8,15 @@
   SlotCounts,
   SlotRefusal,
 } from '../mesh/index.js';
+import {findPartedSize, RequestBody} from './caller_request.js';
 
 /** Time for a lost link to be re-established and deliver the response to a request sent over it. */
 const reconnectTimeoutMs: Millis = 3000;
 
+/** Unsent bytes on a link above which the parts of bodies wait, so that other messages are not held up. */
+const maxBodyBacklogBytes = 256 * 1024;
+const backlogCheckMs: Millis = 5;
+
 /** Progress of a slot request to a guard and of the request that is sent once the slot is granted. */
 export type CallEvent =
   | {readonly kind: 'granted'; readonly server: BackendServerId}
@@ -49,6 +54,11 @@
 type SlotRequestMessage = Extract<EntryMessage, {kind: 'request'}>;
 type SendMessage = Extract<EntryMessage, {kind: 'send'}>;
 
+/** A request to be sent, with its body in parts. */
+type CallRequest = Omit<SendMessage, 'kind' | 'id' | 'body' | 'bodyBytes'> & {
+  readonly body: RequestBody;
+};
+
 /** Slot counts last reported by a guard. */
 export interface ReportedSlots extends SlotCounts {
   readonly at: Millis;
@@ -87,13 +97,37 @@
     return call;
   }
 
-  /** Sends the request in the granted slot. */
-  send({id, node}: GuardCall, message: Omit<SendMessage, 'kind' | 'id'>): void {
+  /** Sends the request in the granted slot; a large body follows in parts, at the pace of the link. */
+  send({id, node}: GuardCall, {body, ...request}: CallRequest): void {
     const call = this.calls.get(id);
     if (!call) return;
     call.phase = 'sent';
     this.onBusyChange(node, true);
-    this.getChannel(node)?.send({kind: 'send', id, ...message});
+    const channel = this.getChannel(node);
+    if (!channel) return;
+    const bodyBytes = findPartedSize(body);
+    if (bodyBytes === undefined || !channel.hasFlowControl()) {
+      const whole = body.length > 1 ? Buffer.concat(body) : (body[0] ?? null);
+      channel.send({kind: 'send', id, ...request, body: whole});
+      return;
+    }
+    channel.send({kind: 'send', id, ...request, body: null, bodyBytes});
+    void this.sendBody(call, body, channel);
+  }
+
+  /** Sends a body until its call has ended or its link is lost, after which the guard drops what it has. */
+  private async sendBody(
+    {id}: OpenCall,
+    body: RequestBody,
+    channel: Channel,
+  ): Promise<void> {
+    for (const bytes of body) {
+      while (channel.getBacklog() > maxBodyBacklogBytes && channel.isOpen()) {
+        await this.clock.sleep(backlogCheckMs);
+      }
+      if (!this.calls.has(id) || !channel.isOpen()) return;
+      channel.send({kind: 'body', id, bytes});
+    }
   }
 
   /** Lets the guard send a total of bytes of the response body. */
--- a/src/sidecar/guard_sessions.ts
+++ b/src/sidecar/guard_sessions.ts
@@ -2,6 +2,7 @@
 import {SlotRequest} from '../dispatch/index.js';
 import {Channel, EntryMessage} from '../mesh/index.js';
 import {PartBuffer} from './part_buffer.js';
+import {ReceivedBody} from './received_body.js';
 import {SendWindow} from './send_window.js';
 
 /** Parts of a finished response are retained this long for an entry whose link was lost. */
@@ -29,7 +30,10 @@
   readonly message: Extract<EntryMessage, {kind: 'request'}>;
   readonly request: SlotRequest;
   readonly abort: AbortController;
-  phase: 'waiting' | 'granted' | 'running' | 'ended';
+  /** `receiving`: the slot is granted, and parts of the request body are missing. */
+  phase: 'waiting' | 'granted' | 'receiving' | 'running' | 'ended';
+  /** The request, from the grant until its run has ended. */
+  received: ReceivedBody | undefined;
   /** Backend server that granted the slot. */
   server: BackendServerId | undefined;
   /** When the current phase began. */
@@ -63,6 +67,7 @@
     deadlineAt: now + message.deadlineInMs,
     share: message.share,
     isForIdle: message.isForIdle === true,
+    bodyBytes: message.bodyBytes ?? 0,
   };
 }
 
@@ -79,18 +84,19 @@
     return session;
   }
 
-  /** Waiting and granted exchanges of one session, whose requests have not arrived. */
+  /** Exchanges of one session whose requests have not arrived whole. */
   listUnsent(name: string): readonly Exchange[] {
     return [...this.getOrCreate(name).exchanges.values()].filter(
-      ({phase}) => phase === 'waiting' || phase === 'granted',
+      ({phase}) => phase !== 'running' && phase !== 'ended',
     );
   }
 
-  /** Granted slots that their entries have not used in time. */
+  /** Granted slots whose requests have not arrived in time. */
   listExpiredGrants(now: Millis): readonly Exchange[] {
     return this.listExchanges().filter(
-      ({phase, phaseStartedAt}) =>
-        phase === 'granted' && now - phaseStartedAt > grantTimeoutMs,
+      ({phase, phaseStartedAt, request}) =>
+        (phase === 'granted' && now - phaseStartedAt > grantTimeoutMs) ||
+        (phase === 'receiving' && now > request.deadlineAt),
     );
   }
 
--- a/src/sidecar/memory_budgets.ts
+++ b/src/sidecar/memory_budgets.ts
@@ -1,27 +1,71 @@
+import {Gauge, Registry} from 'prom-client';
 import {ByteBudget} from '../base/index.js';
 
 /** Fractions of the memory limit of the process; what is left is for the program itself and for copies in transit. */
-const requestBodyFraction = 0.12;
+const callerBodyFraction = 0.22;
 const responseFraction = 0.12;
+const guardBodyFraction = 0.11;
 const retainedPartFraction = 0.06;
 
-/** Bytes that a node holds for requests and responses, bounded by the memory limit of its process. */
-export interface MemoryBudgets {
-  /** Request bodies at the entry. */
-  readonly requestBodies: ByteBudget;
-  /** Responses at the entry: what guards may send, and what callers have not taken yet. */
+/** What an entry holds for its callers. */
+export interface EntryBudgets {
+  /** Request bodies. */
+  readonly bodies: ByteBudget;
+  /** Responses: what guards may send, and what callers have not taken yet. */
   readonly responses: ByteBudget;
-  /** Parts of responses that the guard retains until they have arrived at their entries. */
+}
+
+/** What a guard holds for entries. */
+export interface GuardBudgets {
+  /** Request bodies that are sent in parts. */
+  readonly bodies: ByteBudget;
+  /** Parts of responses that have not arrived at their entries for certain. */
   readonly retainedParts: ByteBudget;
 }
 
+/** Bytes that a node holds for requests and responses. */
+export interface MemoryBudgets {
+  readonly entry: EntryBudgets;
+  readonly guard: GuardBudgets;
+}
+
 /** Divides the memory limit of the process, in bytes. */
 export function makeMemoryBudgets(memoryLimit: number): MemoryBudgets {
   const makeBudget = (fraction: number) =>
     new ByteBudget(Math.floor(memoryLimit * fraction));
   return {
-    requestBodies: makeBudget(requestBodyFraction),
-    responses: makeBudget(responseFraction),
-    retainedParts: makeBudget(retainedPartFraction),
+    entry: {
+      bodies: makeBudget(callerBodyFraction),
+      responses: makeBudget(responseFraction),
+    },
+    guard: {
+      bodies: makeBudget(guardBodyFraction),
+      retainedParts: makeBudget(retainedPartFraction),
+    },
+  };
+}
+
+/** Registers a metric of what the node holds and may hold. */
+export function registerMemoryMetric(
+  {entry, guard}: MemoryBudgets,
+  registry: Registry,
+): void {
+  const budgets: Readonly<Record<string, ByteBudget>> = {
+    'caller-bodies': entry.bodies,
+    responses: entry.responses,
+    'guard-bodies': guard.bodies,
+    'retained-parts': guard.retainedParts,
   };
+  new Gauge({
+    name: 'fescuewheel_held_bytes',
+    help: 'Bytes held for requests and responses, and the most that may be held, by kind',
+    labelNames: ['kind', 'value'],
+    registers: [registry],
+    collect() {
+      for (const [kind, budget] of Object.entries(budgets)) {
+        this.set({kind, value: 'held'}, budget.getUsed());
+        this.set({kind, value: 'limit'}, budget.limit);
+      }
+    },
+  });
 }
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -33,7 +33,7 @@
 import {HeardNotices} from './heard_notices.js';
 import {buildMetricsPort} from './http_port.js';
 import {sendIdleReports} from './idle_report_sender.js';
-import {makeMemoryBudgets} from './memory_budgets.js';
+import {makeMemoryBudgets, registerMemoryMetric} from './memory_budgets.js';
 import {buildMetrics} from './metrics.js';
 import {NodeDirectory} from './node_directory.js';
 import {computeRetryLimits} from './retry_limits.js';
@@ -97,6 +97,7 @@
       logger,
     );
     const budgets = makeMemoryBudgets(settings.memoryLimit);
+    registerMemoryMetric(budgets, this.registry);
     this.guard = new Guard(
       {
         getRetryLimits: service => this.getRetryLimits(service),
@@ -110,7 +111,7 @@
         onStateChange: state => this.onGuardStateChange(state),
       },
       settings,
-      budgets.retainedParts,
+      budgets.guard,
       this.metrics,
       clock,
       logger,
@@ -136,8 +137,8 @@
         calls: this.calls,
         runDurations: new RunDurationEstimator(),
         metrics: this.metrics,
-        responses: budgets.responses,
-        requestBodies: budgets.requestBodies,
+        responses: budgets.entry.responses,
+        requestBodies: budgets.entry.bodies,
         dataCentre,
         idleReports: this.idleReports,
         getCallerService: () => this.getCallerService(),
--- a/src/sidecar/request_body.ts
+++ b/src/sidecar/request_body.ts
@@ -1,5 +1,6 @@
 import {IncomingMessage} from 'node:http';
 import {ByteBudget, Clock, Millis} from '../base/index.js';
+import {RequestBody} from './caller_request.js';
 
 /** Limits on reading one request body. */
 export interface BodyLimits {
@@ -16,7 +17,7 @@
 export type BodyResult =
   | {
       readonly kind: 'complete';
-      readonly bytes: Buffer;
+      readonly body: RequestBody;
       readonly release: () => void;
     }
   | {readonly kind: 'too-large'}
@@ -64,7 +65,7 @@
     request.once('end', () =>
       finish({
         kind: 'complete',
-        bytes: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks),
+        body: chunks,
         release: () => budget.release(claimed),
       }),
     );
--- a/src/sidecar/slot_search.ts
+++ b/src/sidecar/slot_search.ts
@@ -9,7 +9,7 @@
   RunDurationEstimator,
 } from '../dispatch/index.js';
 import {SlotCounts, SlotRefusal} from '../mesh/index.js';
-import {CallerRequest} from './caller_request.js';
+import {CallerRequest, findPartedSize} from './caller_request.js';
 import {CallEvent, GuardCall, GuardCalls} from './guard_calls.js';
 import {RoutingRoute} from './routing.js';
 
@@ -286,6 +286,7 @@
     isForIdle: boolean,
   ): void {
     const {route, requestId, service, receivedAt, deadlineAt} = this.request;
+    const bodyBytes = findPartedSize(this.request.body);
     const call = this.context.calls.open(
       node,
       {
@@ -300,6 +301,7 @@
         deadlineInMs: Math.round(deadlineAt - now),
         share: 1 / Math.max(1, Math.min(maxSlotRequests, candidates)),
         ...(isForIdle && {isForIdle}),
+        ...(bodyBytes !== undefined && {bodyBytes}),
       },
       this.onEvent,
     );
--- a/test/mesh/message_check.test.ts
+++ b/test/mesh/message_check.test.ts
@@ -53,6 +53,7 @@
     caller: undefined,
     deadlineInMs: 100,
   },
+  body: {kind: 'body', id: 1, bytes: Buffer.from('x')},
   cancel: {kind: 'cancel', id: 1},
   credit: {kind: 'credit', id: 1, seq: 2, bytes: 100_000},
   granted: {kind: 'granted', id: 1, server, news},
--- a/test/platform/backend_client.test.ts
+++ b/test/platform/backend_client.test.ts
@@ -19,7 +19,7 @@
     method: 'GET',
     target: '/x',
     headers: [],
-    body: null,
+    body: [],
     caller: undefined,
     deadlineAt: systemClock.getTime() + 2000,
     signal: new AbortController().signal,
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -65,7 +65,7 @@
       method: 'GET',
       target: '/x',
       headers: [],
-      body: null,
+      body: [],
       caller: undefined,
       deadlineAt: startedAt + deadlineMs,
       signal: controller.signal,
--- a/test/sidecar/guard_calls.test.ts
+++ b/test/sidecar/guard_calls.test.ts
@@ -46,7 +46,7 @@
       method: 'POST',
       target: '/x',
       headers: [],
-      body: null,
+      body: [],
       caller: undefined,
       deadlineInMs: 1000,
     });
--- a/test/sidecar/request_task.test.ts
+++ b/test/sidecar/request_task.test.ts
@@ -96,7 +96,7 @@
       method: 'POST',
       target: '/',
       headers: [],
-      body: null,
+      body: [],
       receivedAt: now,
       deadlineAt: now + timeoutMs,
     },
