Keep the other departures of a record when one of them is odd

A notice without a start time was stored with a fraction of a millisecond, and the check of for odd numbers then rejected the whole record, so that the next process forgot all departures.

Change: such a start time is a whole number, and an odd departure in a record is left out alone.

--- a/src/sidecar/backend_tracker.ts
+++ b/src/sidecar/backend_tracker.ts
@@ -184,7 +184,7 @@
     const knownStart = startedAtMs ?? ownStart;
     this.addDeparture(
       knownStart === undefined
-        ? {server, startedAtMs: now, isUpperBound: true}
+        ? {server, startedAtMs: Math.floor(now), isUpperBound: true}
         : {server, startedAtMs: knownStart},
     );
     return this.endIfDeparted();
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -38,8 +38,8 @@
 const entryCodec = t.intersection([
   t.type({address: t.string}),
   t.partial({
-    departure: departureCodec,
-    departures: t.array(departureCodec),
+    departure: t.unknown,
+    departures: t.unknown,
   }),
 ]);
 
@@ -199,38 +199,44 @@
       return undefined;
     }
     const {address, departure, departures} = entry.right;
-    const last = departure && toDeparture(departure);
-    const all = departures?.map(toDeparture) ?? (last ? [last] : []);
+    const last = this.decodeDeparture(key, departure);
+    const all = (Array.isArray(departures) ? departures : [departure])
+      .map(value => this.decodeDeparture(key, value))
+      .filter(value => value !== undefined);
     return {
       node: asId<NodeId>(key),
       address,
-      ...(all.length > 0 && {departures: {last, all}}),
+      ...((last ?? all.length > 0) && {departures: {last, all}}),
+    };
+  }
+
+  /** Decodes one departure of a record; an odd one is left out, and the others hold. */
+  private decodeDeparture(key: string, value: unknown): Departure | undefined {
+    if (value === undefined || value === null) return undefined;
+    const departure = decodeWith(departureCodec, value);
+    if (E.isLeft(departure) || !isTime(departure.right.startedAtMs)) {
+      this.logger.warn({key}, 'departure in a node record ignored: malformed');
+      return undefined;
+    }
+    const {server, startedAtMs, isUpperBound} = departure.right;
+    return {
+      server: asId<BackendServerId>(server),
+      startedAtMs,
+      ...(isUpperBound && {isUpperBound}),
     };
   }
 }
 
 function findInvalidField(
   key: string,
-  {address, departure, departures = []}: t.TypeOf<typeof entryCodec>,
+  {address}: t.TypeOf<typeof entryCodec>,
 ): string | undefined {
   if (key.length > maxNodeIdLength) return 'the node id is too long';
-  if (!isIpAddress(address)) return `address: expected IP:port, got ${address}`;
-  const isPlausible = [...departures, ...(departure ? [departure] : [])].every(
-    ({startedAtMs}) => Number.isSafeInteger(startedAtMs) && startedAtMs >= 0,
-  );
-  return isPlausible ? undefined : 'departures: expected whole milliseconds';
+  return isIpAddress(address) ? undefined : 'address: expected IP:port';
 }
 
-function toDeparture({
-  server,
-  startedAtMs,
-  isUpperBound,
-}: t.TypeOf<typeof departureCodec>): Departure {
-  return {
-    server: asId<BackendServerId>(server),
-    startedAtMs,
-    ...(isUpperBound && {isUpperBound}),
-  };
+function isTime(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
 }
 
 function isSameState(
--- a/test/platform/departures.test.ts
+++ b/test/platform/departures.test.ts
@@ -23,10 +23,10 @@
     const notice =
       body && JSON.stringify({...JSON.parse(body), born: backend.startedAt});
     t.is(await backend.announceDeparture(notice), 200);
-    t.is(await backend.announce(), 409);
+    t.is(await backend.announce(), 409, 'after the notice');
     await fleet.restartAll(t);
     await fleet.vms[1].backend.announce();
-    t.is(await backend.announce(), 409);
+    t.is(await backend.announce(), 409, 'after the restart');
     const answers = await sendSome(fleet, 1);
     t.true(answers.every(({status}) => status === 200));
     t.deepEqual(backend.runs, []);
--- a/test/sidecar/node_directory.test.ts
+++ b/test/sidecar/node_directory.test.ts
@@ -42,3 +42,35 @@
     [own.node],
   );
 });
+
+test('an odd departure in a record is left out, and the others hold', async t => {
+  const good = {server: 's1', startedAtMs: 1000};
+  const departures = [
+    {server: 's2', startedAtMs: 1e300},
+    good,
+    {server: 5},
+    'odd',
+    {server: 's3', startedAtMs: 0.5},
+  ];
+  const value = Buffer.from(
+    JSON.stringify({address: '127.0.0.1:1', departures}),
+  );
+  const directory = new NodeDirectory(
+    {
+      listNewest: async () => ({
+        records: [{key: 'n1', value}],
+        end: 1,
+        epoch: 0,
+      }),
+      follow: async () => undefined,
+      put: async () => 0,
+    },
+    'nodes',
+    buildMetrics(new Registry()),
+    systemClock,
+    openSilentLogger(),
+  );
+  const own = {node: asId<NodeId>('n1'), address: '127.0.0.1:1'};
+  await directory.join(own, new AbortController().signal);
+  t.deepEqual(directory.getDepartures().all, [good]);
+});
