Do not take a slow caller for a slow backend server

Since responses wait for their callers, a run also lasts for as long as its caller takes. That time says nothing about the server: it no longer counts as evidence of a fault, nor in the estimates of run times at guards and entries.

--- a/src/sidecar/backend_monitor.ts
+++ b/src/sidecar/backend_monitor.ts
@@ -95,7 +95,8 @@
     );
     if (outcome.kind === 'answered' && outcome.status < 500) {
       const targetMs = exchange.message.expectedMs * targetToExpectedRatio;
-      this.runDurations.record(route, targetMs, now - startedAt);
+      const pausedMs = exchange.window.getPausedTime();
+      this.runDurations.record(route, targetMs, now - startedAt - pausedMs);
       const isSlow = survival <= slowSurvivalProbability;
       this.faultEstimator.recordEnd(
         isSlow ? 'slow-success' : 'success',
@@ -127,13 +128,17 @@
     }));
   }
 
-  /** Probability that a normal run lasts longer than this one has so far; slow start is allowed for. */
+  /**
+   * Probability that a normal run lasts longer than this one has so far; slow start and waiting for the caller are allowed
+   * for.
+   */
   private computeSurvivalProbability(
     {
       request,
       message,
       phaseStartedAt,
-    }: Pick<Exchange, 'request' | 'message' | 'phaseStartedAt'>,
+      window,
+    }: Pick<Exchange, 'request' | 'message' | 'phaseStartedAt' | 'window'>,
     now: Millis,
   ): number {
     const slowdown = now < this.warmupEndsAt ? warmupSlowdown : 1;
@@ -141,7 +146,7 @@
     return this.runDurations.getSurvivalProbability(
       request.route,
       expectedMs * targetToExpectedRatio,
-      (now - phaseStartedAt) / slowdown,
+      (now - phaseStartedAt - window.getPausedTime()) / slowdown,
       expectedMs,
     );
   }
--- a/src/sidecar/guard.ts
+++ b/src/sidecar/guard.ts
@@ -204,7 +204,7 @@
       received: undefined,
       phaseStartedAt: now,
       parts: new PartBuffer(this.budgets.retainedParts),
-      window: new SendWindow(),
+      window: new SendWindow(this.clock),
     };
     session.exchanges.set(message.id, exchange);
     this.queue.add(exchange, exchange.request, now);
@@ -310,7 +310,8 @@
     if (isCancelled) return this.monitor.recordCancel(exchange, now);
     this.monitor.recordOutcome(exchange, startedAt, outcome, now);
     if (outcome.kind === 'answered') {
-      this.runner.sendEnd(exchange, now - startedAt);
+      const pausedMs = exchange.window.getPausedTime();
+      this.runner.sendEnd(exchange, now - startedAt - pausedMs);
     } else {
       const {reason, mayHaveRun, detail} = outcome;
       this.runner.sendFailure(exchange, reason, mayHaveRun, detail);
