--- a/test/platform/backend_client.test.ts
+++ b/test/platform/backend_client.test.ts
@@ -115,3 +115,46 @@
   });
   t.true(refused.kind === 'failed' && !refused.mayHaveRun);
 });
+
+test('an early answer to a long body is passed on, and the rest of the body never reaches the next request', async t => {
+  const received: string[] = [];
+  const server: Server = createServer(socket => {
+    let text = '';
+    let isAnswered = false;
+    socket.on('error', () => undefined);
+    socket.on('data', bytes => {
+      text += bytes.toString('latin1');
+      if (isAnswered || !text.includes('\r\n\r\n')) return;
+      isAnswered = true;
+      received.push(text.slice(0, text.indexOf(' ')));
+      socket.write(
+        `HTTP/1.1 200 OK\r\n${signed}content-length: 5\r\n\r\nwhole`,
+      );
+      // Reads on only later, as a server may that keeps its connection.
+      socket.pause();
+      setTimeout(() => socket.resume(), 200);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const {port} = server.address() as AddressInfo;
+  const client = new BackendClient(systemClock, '127.0.0.1');
+  const part = Buffer.alloc(64 * 1024, 'x');
+  for (const body of [Array<Buffer>(400).fill(part), []]) {
+    let answer = '';
+    const request = makeRequest(`127.0.0.1:${port}`);
+    const outcome = await client.run(
+      {...request, method: body.length > 0 ? 'POST' : 'GET', body},
+      {
+        onNotice: () => undefined,
+        onHead: () => undefined,
+        onChunk: bytes => {
+          answer += bytes.toString();
+        },
+      },
+    );
+    t.is(outcome.kind, 'answered');
+    t.is(answer, 'whole');
+  }
+  t.deepEqual(received, ['POST', 'GET']);
+});
