Leave small requests room beside a large body

A single body fits at any size while nothing else is held, so it could exceed its budget; then even requests without a body were refused at the entry, or got no slot at the guard, until it ended. What takes nothing now always fits, and bodies up to 64 KiB have a budget of their own.

--- a/src/base/byte_budget.ts
+++ b/src/base/byte_budget.ts
@@ -13,9 +13,9 @@
     return this.used >= this.limit;
   }
 
-  /** Whether bytes fit; a single claim fits at any size while nothing else is held. */
+  /** Whether bytes fit; a single claim fits at any size while nothing else is held, and nothing always fits. */
   canClaim(bytes: number): boolean {
-    return this.used === 0 || this.used + bytes <= this.limit;
+    return bytes === 0 || this.used === 0 || this.used + bytes <= this.limit;
   }
 
   /** Claims bytes if they fit. */
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -1,17 +1,10 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {
-  asId,
-  ByteBudget,
-  Clock,
-  Logger,
-  Millis,
-  Random,
-  RequestId,
-} from '../base/index.js';
+import {asId, Clock, Logger, Millis, Random, RequestId} from '../base/index.js';
 import {WeightedRoundRobin} from '../dispatch/index.js';
 import {platformHeaders} from '../../platform/headers.js';
 import {CallerResponse, LocalErrorCode} from './caller_response.js';
 import {RequestTask, TaskContext} from './request_task.js';
+import {EntryBudgets} from './memory_budgets.js';
 import {pickForBackend} from './raw_headers.js';
 import {readRequestBody} from './request_body.js';
 import {Routing, RoutingRoute, RoutingTable} from './routing.js';
@@ -31,7 +24,7 @@
 export interface EntryContext extends TaskContext {
   isShuttingDown(): boolean;
   /** Request bodies held by the node; a request whose body does not fit is refused as not run. */
-  readonly requestBodies: ByteBudget;
+  readonly bodies: Omit<EntryBudgets, 'responses'>;
   /** Whether callers have had time to switch to other nodes, so that new requests are refused. */
   isRefusingRequests(): boolean;
 }
@@ -110,7 +103,7 @@
       {
         maxBytes: routingTable.routing.limits.maxBodyBytes,
         timeoutMs: deadlineAt - receivedAt,
-        budget: this.context.requestBodies,
+        budgets: this.context.bodies,
       },
       this.clock,
     );
--- a/src/sidecar/memory_budgets.ts
+++ b/src/sidecar/memory_budgets.ts
@@ -2,15 +2,18 @@
 import {ByteBudget} from '../base/index.js';
 
 /** Fractions of the memory limit of the process; what is left is for the program itself and for copies in transit. */
-const callerBodyFraction = 0.22;
+const callerBodyFraction = 0.21;
+const smallBodyFraction = 0.03;
 const responseFraction = 0.12;
 const guardBodyFraction = 0.11;
 const retainedPartFraction = 0.06;
 
 /** What an entry holds for its callers. */
 export interface EntryBudgets {
-  /** Request bodies. */
+  /** Request bodies that are sent to guards in parts. */
   readonly bodies: ByteBudget;
+  /** Smaller ones, which large bodies do not hold up. */
+  readonly smallBodies: ByteBudget;
   /** Responses: what guards may send, and what callers have not taken yet. */
   readonly responses: ByteBudget;
 }
@@ -36,6 +39,7 @@
   return {
     entry: {
       bodies: makeBudget(callerBodyFraction),
+      smallBodies: makeBudget(smallBodyFraction),
       responses: makeBudget(responseFraction),
     },
     guard: {
@@ -52,6 +56,7 @@
 ): void {
   const budgets: Readonly<Record<string, ByteBudget>> = {
     'caller-bodies': entry.bodies,
+    'small-bodies': entry.smallBodies,
     responses: entry.responses,
     'guard-bodies': guard.bodies,
     'retained-parts': guard.retainedParts,
--- a/src/sidecar/node.ts
+++ b/src/sidecar/node.ts
@@ -138,7 +138,7 @@
         runDurations: new RunDurationEstimator(),
         metrics: this.metrics,
         responses: budgets.entry.responses,
-        requestBodies: budgets.entry.bodies,
+        bodies: budgets.entry,
         dataCentre,
         idleReports: this.idleReports,
         getCallerService: () => this.getCallerService(),
--- a/src/sidecar/request_body.ts
+++ b/src/sidecar/request_body.ts
@@ -1,13 +1,15 @@
 import {IncomingMessage} from 'node:http';
-import {ByteBudget, Clock, Millis} from '../base/index.js';
+import {Clock, Millis} from '../base/index.js';
+import {maxInlineBodyBytes} from '../mesh/index.js';
 import {RequestBody} from './caller_request.js';
+import {EntryBudgets} from './memory_budgets.js';
 
 /** Limits on reading one request body. */
 export interface BodyLimits {
   readonly maxBytes: number;
   readonly timeoutMs: Millis;
   /** What the node holds of request bodies. */
-  readonly budget: ByteBudget;
+  readonly budgets: Omit<EntryBudgets, 'responses'>;
 }
 
 /**
@@ -24,16 +26,45 @@
   | {readonly kind: 'busy'}
   | {readonly kind: 'aborted'};
 
+/** Memory claimed for one body, from the budget of small or of large ones. */
+class BodyClaim {
+  private claimed = 0;
+
+  constructor(private readonly budgets: BodyLimits['budgets']) {}
+
+  /** Raises the claim to a size; returns whether that fits. */
+  claimTotal(bytes: number): boolean {
+    if (bytes <= this.claimed) return true;
+    const from = this.getBudget(this.claimed);
+    const to = this.getBudget(bytes);
+    const isMoved = from !== to;
+    if (!to.claim(isMoved ? bytes : bytes - this.claimed)) return false;
+    if (isMoved) from.release(this.claimed);
+    this.claimed = bytes;
+    return true;
+  }
+
+  release(): void {
+    this.getBudget(this.claimed).release(this.claimed);
+    this.claimed = 0;
+  }
+
+  private getBudget(bytes: number) {
+    const {bodies, smallBodies} = this.budgets;
+    return bytes > maxInlineBodyBytes ? bodies : smallBodies;
+  }
+}
+
 /** Reads a body whole; its memory is claimed before it arrives if its length is declared, else as it arrives. */
 export function readRequestBody(
   request: IncomingMessage,
-  {maxBytes, timeoutMs, budget}: BodyLimits,
+  {maxBytes, timeoutMs, budgets}: BodyLimits,
   clock: Clock,
 ): Promise<BodyResult> {
   const declared = Number(request.headers['content-length'] ?? 0);
   if (declared > maxBytes) return Promise.resolve({kind: 'too-large'});
-  if (!budget.claim(declared)) return Promise.resolve({kind: 'busy'});
-  let claimed = declared;
+  const claim = new BodyClaim(budgets);
+  if (!claim.claimTotal(declared)) return Promise.resolve({kind: 'busy'});
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -42,7 +73,7 @@
       if (isEnded) return;
       isEnded = true;
       timer.cancel();
-      if (result.kind !== 'complete') budget.release(claimed);
+      if (result.kind !== 'complete') claim.release();
       resolve(result);
     };
     const timer = clock.startTimer(timeoutMs, () => {
@@ -52,21 +83,19 @@
     request.on('data', (chunk: Buffer) => {
       if (isEnded) return;
       bytes += chunk.length;
-      const missing = Math.max(0, bytes - claimed);
       const isTooLarge = bytes > maxBytes;
-      if (isTooLarge || (missing > 0 && !budget.claim(missing))) {
+      if (isTooLarge || !claim.claimTotal(bytes)) {
         finish({kind: isTooLarge ? 'too-large' : 'busy'});
         request.pause();
-        return;
+      } else {
+        chunks.push(chunk);
       }
-      claimed += missing;
-      chunks.push(chunk);
     });
     request.once('end', () =>
       finish({
         kind: 'complete',
         body: chunks,
-        release: () => budget.release(claimed),
+        release: () => claim.release(),
       }),
     );
     request.once('error', () => finish({kind: 'aborted'}));
--- a/test/sidecar/guard_bodies.test.ts
+++ b/test/sidecar/guard_bodies.test.ts
@@ -171,3 +171,11 @@
   await systemClock.sleep(100);
   t.deepEqual(sizes, []);
 });
+
+test('a large body leaves requests without one their slots', async t => {
+  const {guard, bodies, request, list} = await buildGuard(t, []);
+  bodies.add(2 * size);
+  request(1);
+  guard.handle(session, {kind: 'request', id: 2, ...makeSlotMessage()});
+  t.deepEqual(list('granted'), [2]);
+});
