--- a/src/base/decode.ts
+++ b/src/base/decode.ts
@@ -66,3 +66,14 @@
 export function clampNumber(value: number, low: number, high: number): number {
   return Math.min(high, Math.max(low, value));
 }
+
+/** Whether a value is a whole number in a range, small enough to be exact. */
+export function isWholeNumber(
+  value: unknown,
+  low = 0,
+  high = Number.MAX_SAFE_INTEGER,
+): boolean {
+  return (
+    Number.isSafeInteger(value) && Number(value) >= low && Number(value) <= high
+  );
+}
--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -1,5 +1,6 @@
 export * from './address.js';
 export * from './byte_budget.js';
+export * from './bytes.js';
 export * from './clock.js';
 export * from './decode.js';
 export * from './errors.js';
--- a/src/mesh/message_check.ts
+++ b/src/mesh/message_check.ts
@@ -1,4 +1,4 @@
-import {isIpAddress} from '../base/index.js';
+import {isIpAddress, isWholeNumber} from '../base/index.js';
 import {MeshMessage} from './messages.js';
 
 const maxNameLength = 1000;
@@ -12,8 +12,7 @@
 const isNumber: Check = value =>
   typeof value === 'number' && Number.isFinite(value);
 const isWhole: Check = value => Number.isSafeInteger(value);
-const isCount: Check = value =>
-  Number.isSafeInteger(value) && Number(value) >= 0;
+const isCount: Check = value => isWholeNumber(value);
 const isBytes: Check = value => value instanceof Uint8Array;
 const isAddress: Check = value =>
   typeof value === 'string' && isIpAddress(value);
@@ -64,7 +63,7 @@
 const isOpenGuard = hasFields({
   server: isName,
   service: isName,
-  slots: value => isCount(value) && Number(value) >= 1,
+  slots: value => isWholeNumber(value, 1),
   verdict: isVerdict,
   limit: isOptional(isLimit),
 });
--- a/src/sidecar/backend_client.ts
+++ b/src/sidecar/backend_client.ts
@@ -3,6 +3,7 @@
 import {
   BackendServerId,
   Clock,
+  countBytes,
   describeError,
   Millis,
   RequestId,
@@ -218,10 +219,6 @@
   return body.length > 1 ? Readable.from(body) : (body[0] ?? null);
 }
 
-function countBytes(body: RequestBody): number {
-  return body.reduce((sum, part) => sum + part.length, 0);
-}
-
 const connectErrorCodes: ReadonlySet<string | undefined> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
--- a/src/sidecar/caller_request.ts
+++ b/src/sidecar/caller_request.ts
@@ -1,4 +1,4 @@
-import {Millis, RequestId, ServiceId} from '../base/index.js';
+import {countBytes, Millis, RequestId, ServiceId} from '../base/index.js';
 import {maxInlineBodyBytes, RawHeaders} from '../mesh/index.js';
 import {RoutingRoute} from './routing.js';
 
@@ -27,6 +27,6 @@
 
 /** Size of a body that is sent to guards in parts; undefined if it is sent with its request. */
 export function findPartedSize(body: RequestBody): number | undefined {
-  const bytes = body.reduce((sum, part) => sum + part.length, 0);
+  const bytes = countBytes(body);
   return bytes > maxInlineBodyBytes ? bytes : undefined;
 }
--- a/src/sidecar/caller_response.ts
+++ b/src/sidecar/caller_response.ts
@@ -1,5 +1,5 @@
 import {ServerResponse} from 'node:http';
-import {Millis, RequestId} from '../base/index.js';
+import {countBytes, Millis, RequestId} from '../base/index.js';
 import {RawHeaders} from '../mesh/index.js';
 import {platformHeaders} from '../../platform/headers.js';
 import {filterHeaders} from './raw_headers.js';
@@ -133,7 +133,3 @@
     return this.isShuttingDown() ? {connection: 'close'} : {};
   }
 }
-
-function countBytes(chunks: readonly Uint8Array[]): number {
-  return chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-}
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -4,7 +4,7 @@
 import {platformHeaders} from '../../platform/headers.js';
 import {CallerResponse, LocalErrorCode} from './caller_response.js';
 import {RequestTask, TaskContext} from './request_task.js';
-import {EntryBudgets} from './memory_budgets.js';
+import {BodyBudgets} from './memory_budgets.js';
 import {pickForBackend} from './raw_headers.js';
 import {readRequestBody} from './request_body.js';
 import {Routing, RoutingRoute, RoutingTable} from './routing.js';
@@ -24,7 +24,7 @@
 export interface EntryContext extends TaskContext {
   isShuttingDown(): boolean;
   /** Request bodies held by the node; a request whose body does not fit is refused as not run. */
-  readonly bodies: Omit<EntryBudgets, 'responses'>;
+  readonly bodies: BodyBudgets;
   /** Whether callers have had time to switch to other nodes, so that new requests are refused. */
   isRefusingRequests(): boolean;
 }
--- a/src/sidecar/exchange_runner.ts
+++ b/src/sidecar/exchange_runner.ts
@@ -154,26 +154,29 @@
   }
 
   /** Waits while retained parts use up the memory, unless the exchange itself retains none. */
-  private async waitForMemory({abort, parts}: Exchange): Promise<void> {
-    while (
-      !abort.signal.aborted &&
-      parts.getBytes() > 0 &&
-      this.retainedParts.isExhausted() &&
-      !this.removeRetainedParts()
-    ) {
-      await this.clock.sleep(pauseCheckMs, abort.signal);
-    }
+  private waitForMemory({abort, parts}: Exchange): Promise<void> {
+    return this.waitWhile(
+      abort.signal,
+      () =>
+        parts.getBytes() > 0 &&
+        this.retainedParts.isExhausted() &&
+        !this.removeRetainedParts(),
+    );
+  }
+
+  private waitUntilBacklogDrains({abort, session}: Exchange): Promise<void> {
+    return this.waitWhile(
+      abort.signal,
+      () => (session.channel?.getBacklog() ?? 0) > maxSendBacklogBytes,
+    );
   }
 
-  private async waitUntilBacklogDrains({
-    abort,
-    session,
-  }: Exchange): Promise<void> {
-    while (
-      !abort.signal.aborted &&
-      (session.channel?.getBacklog() ?? 0) > maxSendBacklogBytes
-    ) {
-      await this.clock.sleep(pauseCheckMs, abort.signal);
+  private async waitWhile(
+    signal: AbortSignal,
+    isBlocked: () => boolean,
+  ): Promise<void> {
+    while (!signal.aborted && isBlocked()) {
+      await this.clock.sleep(pauseCheckMs, signal);
     }
   }
 }
--- a/src/sidecar/memory_budgets.ts
+++ b/src/sidecar/memory_budgets.ts
@@ -8,12 +8,16 @@
 const guardBodyFraction = 0.11;
 const retainedPartFraction = 0.06;
 
-/** What an entry holds for its callers. */
-export interface EntryBudgets {
+/** Request bodies that an entry holds for its callers. */
+export interface BodyBudgets {
   /** Request bodies that are sent to guards in parts. */
   readonly bodies: ByteBudget;
   /** Smaller ones, which large bodies do not hold up. */
   readonly smallBodies: ByteBudget;
+}
+
+/** What an entry holds for its callers. */
+export interface EntryBudgets extends BodyBudgets {
   /** Responses: what guards may send, and what callers have not taken yet. */
   readonly responses: ByteBudget;
 }
--- a/src/sidecar/node_directory.ts
+++ b/src/sidecar/node_directory.ts
@@ -7,6 +7,7 @@
   decodeWith,
   describeError,
   isIpAddress,
+  isWholeNumber,
   Logger,
   Millis,
   NodeId,
@@ -214,7 +215,7 @@
   private decodeDeparture(key: string, value: unknown): Departure | undefined {
     if (value === undefined || value === null) return undefined;
     const departure = decodeWith(departureCodec, value);
-    if (E.isLeft(departure) || !isTime(departure.right.startedAtMs)) {
+    if (E.isLeft(departure) || !isWholeNumber(departure.right.startedAtMs)) {
       this.logger.warn({key}, 'departure in a node record ignored: malformed');
       return undefined;
     }
@@ -235,10 +236,6 @@
   return isIpAddress(address) ? undefined : 'address: expected IP:port';
 }
 
-function isTime(value: number): boolean {
-  return Number.isSafeInteger(value) && value >= 0;
-}
-
 function isSameState(
   a: DepartureState = noDepartures,
   b: DepartureState = noDepartures,
--- a/src/sidecar/request_body.ts
+++ b/src/sidecar/request_body.ts
@@ -2,14 +2,14 @@
 import {Clock, Millis} from '../base/index.js';
 import {maxInlineBodyBytes} from '../mesh/index.js';
 import {RequestBody} from './caller_request.js';
-import {EntryBudgets} from './memory_budgets.js';
+import {BodyBudgets} from './memory_budgets.js';
 
 /** Limits on reading one request body. */
 export interface BodyLimits {
   readonly maxBytes: number;
   readonly timeoutMs: Millis;
   /** What the node holds of request bodies. */
-  readonly budgets: Omit<EntryBudgets, 'responses'>;
+  readonly budgets: BodyBudgets;
 }
 
 /**
@@ -30,7 +30,7 @@
 class BodyClaim {
   private claimed = 0;
 
-  constructor(private readonly budgets: BodyLimits['budgets']) {}
+  constructor(private readonly budgets: BodyBudgets) {}
 
   /** Raises the claim to a size; returns whether that fits. */
   claimTotal(bytes: number): boolean {
--- a/src/sidecar/request_task.ts
+++ b/src/sidecar/request_task.ts
@@ -175,10 +175,9 @@
         return;
       case 'suspected':
         return this.recordSuspicion(call);
-      case 'head': {
+      case 'head':
         this.inFlight.get(call)?.arriving.setHead(event);
         return;
-      }
       case 'chunk':
         return this.handleChunk(call, event.bytes);
       case 'end':
--- a/test/platform/departures.test.ts
+++ b/test/platform/departures.test.ts
@@ -11,17 +11,16 @@
   );
 }
 
-for (const [name, body] of [
-  ['with its start time', JSON.stringify({born: Date.now() - 1000})],
-  ['without a body', undefined],
+for (const [name, makeNotice] of [
+  ['with its start time', (born: number) => JSON.stringify({born})],
+  ['without a body', () => undefined],
 ] as const) {
   test(`a deregistration ${name} at a node that has not heard of the server is not forgotten`, async t => {
     const fleet = new TestFleet();
     await fleet.start(t, 2);
     const [{backend}] = fleet.vms;
     await fleet.restartNode(t, 0);
-    const notice =
-      body && JSON.stringify({...JSON.parse(body), born: backend.startedAt});
+    const notice = makeNotice(backend.startedAt);
     t.is(await backend.announceDeparture(notice), 200);
     t.is(await backend.announce(), 409, 'after the notice');
     await fleet.restartAll(t);
--- a/test/platform/large_bodies.test.ts
+++ b/test/platform/large_bodies.test.ts
@@ -2,14 +2,14 @@
 
 import {createHash, randomBytes} from 'node:crypto';
 import {request} from 'undici';
-import test from 'ava';
+import test, {ExecutionContext} from 'ava';
 import {systemClock} from '../../src/base/index.js';
 import {platformHeaders} from '../../platform/index.js';
 import {makeConfig, TestFleet, Vm} from './test_fleet.js';
 
 const maxBodyBytes = 64 * 1024 * 1024;
 
-async function startFleet(...[t, vms]: Parameters<TestFleet['start']>) {
+async function startFleet(t: ExecutionContext, vms: number) {
   const fleet = new TestFleet();
   await fleet.start(t, vms);
   const config = makeConfig(2);
--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -49,7 +49,6 @@
   const {safe} = makeConfig(2).routes;
   const slow = {...safe, timeout_ms: 8000, target_latency_ms: 5000};
   fleet.store.writeConfig(makeConfig(2, {safe: slow}));
-  // The configuration is in force at once, but not before the route has its new time limit.
   await systemClock.sleep(1000);
   return fleet;
 }
--- a/test/sidecar/builders.ts
+++ b/test/sidecar/builders.ts
@@ -1,5 +1,5 @@
 import {asId, RequestId, RouteId, ServiceId} from '../../src/base/index.js';
-import {EntryMessage} from '../../src/mesh/index.js';
+import {Channel, EntryMessage, MeshMessage} from '../../src/mesh/index.js';
 
 /** Makes a slot request for a request that is not idempotent. */
 export function makeSlotMessage(): Omit<
@@ -19,3 +19,15 @@
     share: 1,
   };
 }
+
+/** Makes an open channel that hands over what is sent. */
+export function makeChannel(onSend: (message: MeshMessage) => void): Channel {
+  return {
+    send: onSend,
+    isOpen: () => true,
+    getPendingReplyTime: () => 0,
+    getAverageReplyTime: () => 0,
+    hasFlowControl: () => true,
+    getBacklog: () => 0,
+  };
+}
--- a/test/sidecar/guard_bodies.test.ts
+++ b/test/sidecar/guard_bodies.test.ts
@@ -18,7 +18,7 @@
 import {Guard} from '../../src/sidecar/guard.js';
 import {buildMetrics} from '../../src/sidecar/metrics.js';
 import {waitUntil} from '../platform/test_fleet.js';
-import {makeSlotMessage} from './builders.js';
+import {makeChannel, makeSlotMessage} from './builders.js';
 
 const host = '127.0.0.1';
 const size = 200 * 1024;
@@ -53,14 +53,7 @@
 async function buildGuard(t: ExecutionContext, sizes: number[]) {
   const port = await startServer(t, sizes);
   const sent: MeshMessage[] = [];
-  const channel = {
-    send: (message: MeshMessage) => void sent.push(message),
-    isOpen: () => true,
-    getPendingReplyTime: () => 0,
-    getAverageReplyTime: () => 0,
-    hasFlowControl: () => true,
-    getBacklog: () => 0,
-  };
+  const channel = makeChannel(message => void sent.push(message));
   const bodies = new ByteBudget(1.5 * size);
   const guard = new Guard(
     {
--- a/test/sidecar/guard_calls.test.ts
+++ b/test/sidecar/guard_calls.test.ts
@@ -11,7 +11,7 @@
   GuardCall,
   GuardCalls,
 } from '../../src/sidecar/guard_calls.js';
-import {makeSlotMessage} from './builders.js';
+import {makeChannel, makeSlotMessage} from './builders.js';
 
 // Guards against requests that are lost or run twice when the link between an entry and a guard breaks: the entry must
 // know which of them may have run, and responses are resent over the new link.
@@ -25,14 +25,7 @@
   const clock = new ManualClock();
   const sent: MeshMessage[] = [];
   const events: CallEvent[] = [];
-  const channel = {
-    send: (message: MeshMessage) => void sent.push(message),
-    isOpen: () => true,
-    getPendingReplyTime: () => 0,
-    getAverageReplyTime: () => 0,
-    hasFlowControl: () => true,
-    getBacklog: () => 0,
-  };
+  const channel = makeChannel(message => void sent.push(message));
   const link = {isUp: true};
   const calls = new GuardCalls(
     () => (link.isUp ? channel : undefined),
--- a/test/sidecar/request_task.test.ts
+++ b/test/sidecar/request_task.test.ts
@@ -14,7 +14,7 @@
   systemClock,
 } from '../../src/base/index.js';
 import {IdleReports, RunDurationEstimator} from '../../src/dispatch/index.js';
-import {GuardMessage, MeshMessage} from '../../src/mesh/index.js';
+import {GuardMessage} from '../../src/mesh/index.js';
 import {
   CallerResponse,
   LocalErrorCode,
@@ -22,6 +22,7 @@
 import {GuardCalls} from '../../src/sidecar/guard_calls.js';
 import {buildMetrics} from '../../src/sidecar/metrics.js';
 import {RequestTask} from '../../src/sidecar/request_task.js';
+import {makeChannel} from './builders.js';
 
 // Guards against sending a non-idempotent request again although it may have run, and against failing a request that no
 // server has run.
@@ -56,8 +57,8 @@
 ) {
   let sends = 0;
   const nodes = ['n1', 'n2'].map(name => asId<NodeId>(name));
-  const makeChannel = (node: NodeId) => ({
-    send: (message: MeshMessage) =>
+  const openChannel = (node: NodeId) =>
+    makeChannel(message => {
       setImmediate(() => {
         if (message.kind === 'request') {
           calls.handle(node, {kind: 'granted', id: message.id, server, news});
@@ -67,14 +68,9 @@
             calls.handle(node, part);
           }
         }
-      }),
-    isOpen: () => true,
-    getPendingReplyTime: () => 0,
-    getAverageReplyTime: () => 0,
-    hasFlowControl: () => true,
-    getBacklog: () => 0,
-  });
-  const calls = new GuardCalls(makeChannel, () => undefined, systemClock);
+      });
+    });
+  const calls = new GuardCalls(openChannel, () => undefined, systemClock);
   const response = new RecordingResponse();
   const now = systemClock.getTime();
   const task = new RequestTask(
